--- /dev/null
+++ b/src/bookkeeping/records.ts
@@ -0,0 +1,284 @@
+import { createHash } from 'node:crypto';
+import { z } from 'zod';
+import { encode, jsonSize, parse, u64 } from '../protocol/codec.js';
+import type {
+  Address,
+  Attempt,
+  JobId,
+  LeaseId,
+  MachineId,
+  MemberName,
+  PlanId,
+  Session,
+  StoreKey,
+  TaskIndex,
+  Term,
+  TypeName,
+  ZoneName,
+} from '../protocol/ids.js';
+import type { JobSpec } from '../protocol/jobs.js';
+import type { WallMs } from '../transport/clock.js';
+import { err, ok, type Result } from '../transport/result.js';
+
+/** Everything kept in the state service is a record: a format version, a checksum and a body. */
+const VERSION = 1;
+
+export interface Sealed {
+  readonly v: number;
+  readonly sum: string;
+  readonly body: unknown;
+}
+
+/** Over the canonical CBOR of the body: map order and number width don't matter. */
+export const checksum = (body: unknown): string =>
+  createHash('sha256').update(encode(body)).digest('hex').slice(0, 24);
+
+export const seal = (body: unknown): Sealed => ({ v: VERSION, sum: checksum(body), body });
+
+const sealedSchema = z.object({ v: z.number(), sum: z.string(), body: z.unknown() });
+
+export function unseal<T>(schema: z.ZodType<T>, value: unknown): Result<T, string> {
+  const outer = parse(sealedSchema, value);
+  if (!outer.ok) return outer;
+  if (outer.value.v !== VERSION) return err(`record version ${outer.value.v} is not known`);
+  if (checksum(outer.value.body) !== outer.value.sum) return err('checksum does not match');
+  return parse(schema, outer.value.body);
+}
+
+export const fits = (sealed: Sealed, valueKb: number): boolean => jsonSize(sealed) <= valueKb * 1024 - 64;
+
+const pad = (n: bigint | number, width: number): string => n.toString().padStart(width, '0');
+const key = (text: string): StoreKey => text as StoreKey;
+
+export const Prefix = {
+  term: 'term/',
+  job: 'job/',
+  end: 'end/',
+  finish: 'finish/',
+  plan: 'plan/',
+  receipt: 'receipt/',
+  revision: 'revision/',
+} as const;
+
+export const Keys = {
+  holder: key('term/holder'),
+  epoch: key('term/epoch'),
+  catalog: key('fleet/types'),
+  job: (id: JobId): StoreKey => key(Prefix.job + id),
+  end: (id: JobId): StoreKey => key(Prefix.end + id),
+  finish: (id: JobId, chunk: number): StoreKey => key(`${Prefix.finish}${id}/${pad(chunk, 3)}`),
+  plan: (id: PlanId): StoreKey => key(Prefix.plan + id),
+  receipt: (id: PlanId): StoreKey => key(Prefix.receipt + id),
+  revision: (id: PlanId): StoreKey => key(Prefix.revision + id),
+};
+
+export const planId = (term: Term, round: number): PlanId => `${pad(term, 20)}-${pad(round, 9)}` as PlanId;
+
+// ---- term -------------------------------------------------------------------------------------------
+
+export interface HolderRecord {
+  readonly member: MemberName;
+  readonly term: Term;
+  readonly lease: LeaseId;
+  readonly address: Address;
+}
+
+export const holderSchema = z
+  .object({ member: z.string(), term: u64, lease: u64, address: z.string() })
+  .transform((w) => w as unknown as HolderRecord);
+export const epochSchema = z.object({ term: u64 }).transform((w) => ({ term: w.term as Term }));
+
+// ---- rows -------------------------------------------------------------------------------------------
+
+/** A job's row while it lives: its generation rises with every round, revision and claim written to it. */
+export interface Row {
+  readonly spec: JobSpec;
+  readonly state: 'queued' | 'running' | 'cancelled';
+  readonly generation: number;
+  /** Term under which the row was last written; 0 before the first claim. */
+  readonly term: Term;
+  readonly attempt: number;
+  readonly done: number;
+  readonly acceptedAt: WallMs;
+  readonly cancelledAt: WallMs | null;
+}
+
+const nullableText = z.string().nullable();
+const specSchema = z.object({
+  id: z.string(),
+  class: z.string(),
+  team: z.string(),
+  kind: z.enum(['array', 'gang', 'service']),
+  priority: z.enum(['production', 'high', 'normal', 'low']),
+  tasks: z.number(),
+  cpus: z.number(),
+  gpus: z.number(),
+  memoryGb: z.number(),
+  image: z.string(),
+  imageGb: z.number(),
+  types: z.array(z.string()).nullable(),
+  zone: nullableText,
+  oneZone: z.boolean(),
+  spread: z.boolean(),
+  spot: z.boolean(),
+  estimateS: z.number(),
+  checkpointS: z.number(),
+  saveS: z.number(),
+  deadlineS: z.number().nullable(),
+});
+
+export const rowSchema = z
+  .object({
+    spec: specSchema,
+    state: z.enum(['queued', 'running', 'cancelled']),
+    generation: z.number(),
+    term: u64,
+    attempt: z.number(),
+    done: z.number(),
+    acceptedAt: z.number(),
+    cancelledAt: z.number().nullable(),
+  })
+  .transform((w) => w as unknown as Row);
+
+/** What stays of a job for ever. */
+export interface EndRecord {
+  readonly state: 'done' | 'cancelled';
+  readonly done: number;
+}
+export const endSchema = z.object({ state: z.enum(['done', 'cancelled']), done: z.number() });
+
+// ---- plans ------------------------------------------------------------------------------------------
+
+export interface PlanGroup {
+  readonly machine: MachineId;
+  readonly session: Session;
+  /** What and where the machine is, so that a successor can count before the machine has reported. */
+  readonly type: TypeName;
+  readonly zone: ZoneName;
+  readonly spot: boolean;
+  /** Task ranges, `0-4,9`. */
+  readonly tasks: string;
+}
+
+export interface PlanJob {
+  readonly job: JobId;
+  readonly attempt: Attempt;
+  readonly on: readonly PlanGroup[];
+}
+
+/** One round: which attempt of which task goes to which session of which machine. Never edited. */
+export interface Plan {
+  readonly id: PlanId;
+  readonly term: Term;
+  readonly jobs: readonly PlanJob[];
+}
+
+export const planSchema = z
+  .object({
+    id: z.string(),
+    term: u64,
+    jobs: z.array(
+      z.object({
+        job: z.string(),
+        attempt: u64,
+        on: z.array(
+          z.object({
+            machine: z.string(),
+            session: u64,
+            type: z.string(),
+            zone: z.string(),
+            spot: z.boolean(),
+            tasks: z.string(),
+          }),
+        ),
+      }),
+    ),
+  })
+  .transform((w) => w as unknown as Plan);
+
+/** Proof that the plan's transaction passed the fence. */
+export interface Receipt {
+  readonly plan: PlanId;
+  readonly sum: string;
+  readonly term: Term;
+}
+export const receiptSchema = z
+  .object({ plan: z.string(), sum: z.string(), term: u64 })
+  .transform((w) => w as unknown as Receipt);
+
+/** Which of a plan's tasks went back to waiting: the plan itself is never edited. */
+export interface Revision {
+  readonly plan: PlanId;
+  readonly returned: readonly { readonly job: JobId; readonly tasks: string }[];
+}
+export const revisionSchema = z
+  .object({ plan: z.string(), returned: z.array(z.object({ job: z.string(), tasks: z.string() })) })
+  .transform((w) => w as unknown as Revision);
+
+export function rangesOf(indices: readonly number[]): string {
+  const sorted = [...indices].sort((a, b) => a - b);
+  const parts: string[] = [];
+  for (let i = 0; i < sorted.length;) {
+    let j = i;
+    while (j + 1 < sorted.length && sorted[j + 1] === sorted[j]! + 1) j++;
+    parts.push(i === j ? `${sorted[i]}` : `${sorted[i]}-${sorted[j]}`);
+    i = j + 1;
+  }
+  return parts.join(',');
+}
+
+export function indicesOf(ranges: string): TaskIndex[] {
+  const out: TaskIndex[] = [];
+  for (const part of ranges === '' ? [] : ranges.split(',')) {
+    const [from, to] = part.split('-').map(Number);
+    for (let i = from!; i <= (to ?? from!); i++) out.push(i as TaskIndex);
+  }
+  return out;
+}
+
+// ---- finish records ---------------------------------------------------------------------------------
+
+/** Tasks per finish record: 4,096 bits are some 700 characters, so any value limit holds one. */
+export const CHUNK = 4096;
+export const finishSchema = z.object({ bits: z.string() });
+export const chunkOf = (index: number): number => Math.floor(index / CHUNK);
+
+export class DoneSet {
+  private readonly bytes: Uint8Array;
+  count = 0;
+
+  constructor(readonly size: number) {
+    this.bytes = new Uint8Array(Math.ceil(size / 8));
+  }
+
+  has(i: number): boolean {
+    return (this.bytes[i >> 3]! & (1 << (i & 7))) !== 0;
+  }
+
+  add(i: number): void {
+    if (i >= this.size || this.has(i)) return;
+    this.bytes[i >> 3]! |= 1 << (i & 7);
+    this.count++;
+  }
+
+  load(chunk: number, bits: string): void {
+    const bytes = Buffer.from(bits, 'base64');
+    const base = chunk * CHUNK;
+    for (let i = 0; i < bytes.length * 8 && base + i < this.size; i++) {
+      if ((bytes[i >> 3]! & (1 << (i & 7))) !== 0) this.add(base + i);
+    }
+  }
+
+  /** The record of one chunk as it will be with `more` added. */
+  chunkWith(chunk: number, more: readonly number[]): { bits: string } {
+    const from = (chunk * CHUNK) / 8;
+    const bytes = Buffer.from(this.bytes.slice(from, from + CHUNK / 8));
+    for (const i of more) bytes[(i - chunk * CHUNK) >> 3]! |= 1 << (i & 7);
+    return { bits: bytes.toString('base64') };
+  }
+}
+
+export const readPlan = (value: unknown): Result<{ plan: Plan; sum: string }, string> => {
+  const plan = unseal(planSchema, value);
+  return plan.ok ? ok({ plan: plan.value, sum: (value as Sealed).sum }) : plan;
+};
--- /dev/null
+++ b/src/bookkeeping/store.ts
@@ -0,0 +1,184 @@
+import type { Budget } from '../transport/budget.js';
+import { Rank } from '../transport/budget.js';
+import { type Clock, type SteadyMs } from '../transport/clock.js';
+import type { HttpClient, Reply } from '../transport/http.js';
+import type { Log } from '../transport/log.js';
+import { err, ok, type Result } from '../transport/result.js';
+import { decodeAs } from '../protocol/codec.js';
+import type { Address, LeaseId, Revision, StoreKey } from '../protocol/ids.js';
+import {
+  changesPath,
+  changesSchema,
+  committedSchema,
+  conflictSchema,
+  encodeTtl,
+  encodeTxn,
+  entrySchema,
+  keyPath,
+  leasePath,
+  leaseSchema,
+  rangePath,
+  rangeSchema,
+  renewPath,
+  type Change,
+  type Condition,
+  type Entry,
+  type StoreEvent,
+} from '../protocol/state.js';
+import { Paths } from '../protocol/wire.js';
+
+/**
+ * `unavailable`: surely not executed. `unknown`: it may have been executed, or may still be, minutes from
+ * now; the caller must reread and never assume.
+ */
+export interface StoreFailure {
+  readonly kind: 'unavailable' | 'unknown' | 'gone' | 'refused';
+  readonly why: string;
+}
+
+export type TxnOutcome =
+  | { readonly kind: 'committed'; readonly revision: Revision }
+  | { readonly kind: 'conflict'; readonly failed: readonly StoreKey[] };
+
+export const PAGE = 128;
+const CALL_MS = 1500;
+
+export class Store {
+  /** When the service last answered anything but a refusal; sent time, so never too new. */
+  lastContact: SteadyMs;
+
+  constructor(
+    private readonly http: HttpClient,
+    private readonly address: Address,
+    private readonly clock: Clock,
+    private readonly requests: Budget,
+    private readonly writes: Budget,
+    private readonly log: Log,
+  ) {
+    this.lastContact = (clock.now() - 3_600_000) as SteadyMs;
+  }
+
+  private async call(
+    method: string,
+    path: string,
+    body: Uint8Array | undefined,
+    rank: Rank,
+    writes = 0,
+    deadline = CALL_MS,
+  ): Promise<Result<Reply, StoreFailure>> {
+    if (rank <= Rank.User) {
+      // Renewals and users never queue here; overdrawing shows as a refusal by the service at worst.
+      this.requests.overdraw(1);
+      this.writes.overdraw(writes);
+    } else if (
+      !(await this.writes.take(writes, rank, CALL_MS)) ||
+      !(await this.requests.take(1, rank, CALL_MS))
+    ) {
+      return err({ kind: 'unavailable', why: 'own rate limit' });
+    }
+    const sent = this.clock.now();
+    const reply = await this.http.call(this.address, method, path, body, deadline);
+    if (!reply.ok) {
+      this.log.debug('store-call-failed', { path, why: reply.error.why });
+      return err({ kind: reply.error.kind === 'refused' ? 'unavailable' : 'unknown', why: reply.error.why });
+    }
+    const { status } = reply.value;
+    if (status === 429) {
+      this.requests.refused();
+      if (writes > 0) this.writes.refused();
+    }
+    if (status === 429 || status === 503) {
+      this.log.debug('store-refused', { path, status });
+      return err({ kind: 'unavailable', why: `status ${status}` });
+    }
+    if (sent > this.lastContact) this.lastContact = sent;
+    return ok(reply.value);
+  }
+
+  private garbled<T>(path: string, why: string): Result<T, StoreFailure> {
+    this.log.error('store-answer-garbled', { path, why });
+    return err({ kind: 'unknown', why });
+  }
+
+  async get(key: StoreKey, rank: Rank): Promise<Result<Entry | undefined, StoreFailure>> {
+    const reply = await this.call('GET', keyPath(key), undefined, rank);
+    if (!reply.ok) return reply;
+    if (reply.value.status === 404) return ok(undefined);
+    const entry = decodeAs(entrySchema, reply.value.body);
+    return entry.ok ? ok(entry.value) : this.garbled(key, entry.error);
+  }
+
+  /** All keys under a prefix in pages of 128; the revision is that of the first page, never too new. */
+  async range(
+    prefix: string,
+    rank: Rank,
+  ): Promise<Result<{ entries: Entry[]; revision: Revision }, StoreFailure>> {
+    const entries: Entry[] = [];
+    let after: string | undefined;
+    let revision: Revision | undefined;
+    for (;;) {
+      const reply = await this.call('GET', rangePath(prefix, after, PAGE), undefined, rank);
+      if (!reply.ok) return reply;
+      const page = decodeAs(rangeSchema, reply.value.body);
+      if (!page.ok) return this.garbled(prefix, page.error);
+      revision ??= page.value.revision;
+      entries.push(...page.value.entries);
+      const last = page.value.entries.at(-1);
+      if (!page.value.more || !last) return ok({ entries, revision });
+      after = last.key;
+    }
+  }
+
+  async txn(
+    conditions: readonly Condition[],
+    changes: readonly Change[],
+    rank: Rank,
+  ): Promise<Result<TxnOutcome, StoreFailure>> {
+    const reply = await this.call('POST', Paths.txn, encodeTxn(conditions, changes), rank, changes.length);
+    if (!reply.ok) return reply;
+    if (reply.value.status === 200) {
+      const done = decodeAs(committedSchema, reply.value.body);
+      return done.ok ? ok({ kind: 'committed', revision: done.value }) : this.garbled(Paths.txn, done.error);
+    }
+    if (reply.value.status === 409) {
+      const conflict = decodeAs(conflictSchema, reply.value.body);
+      if (!conflict.ok) return this.garbled(Paths.txn, conflict.error);
+      return ok({ kind: 'conflict', failed: conflict.value.failed });
+    }
+    this.log.error('store-refused-transaction', { status: reply.value.status, changes: changes.length });
+    return err({ kind: 'refused', why: `status ${reply.value.status}` });
+  }
+
+  async grantLease(ttlMs: number): Promise<Result<LeaseId, StoreFailure>> {
+    const reply = await this.call('POST', Paths.leases, encodeTtl(ttlMs), Rank.Lease);
+    if (!reply.ok) return reply;
+    const lease = decodeAs(leaseSchema, reply.value.body);
+    return lease.ok ? ok(lease.value) : this.garbled(Paths.leases, lease.error);
+  }
+
+  async renewLease(lease: LeaseId, deadlineMs: number): Promise<Result<'renewed' | 'ended', StoreFailure>> {
+    const reply = await this.call('POST', renewPath(lease), undefined, Rank.Lease, 0, deadlineMs);
+    if (!reply.ok) return reply;
+    return ok(reply.value.status === 404 ? 'ended' : 'renewed');
+  }
+
+  async endLease(lease: LeaseId): Promise<Result<true, StoreFailure>> {
+    const reply = await this.call('DELETE', leasePath(lease), undefined, Rank.Lease);
+    return reply.ok ? ok(true) : reply;
+  }
+
+  /** `gone`: the service no longer keeps changes that old; the keys must be read again. */
+  async changes(
+    prefix: string,
+    after: Revision,
+    waitMs: number,
+    rank: Rank,
+  ): Promise<Result<{ revision: Revision; events: StoreEvent[] }, StoreFailure>> {
+    const path = changesPath(prefix, after, waitMs);
+    const reply = await this.call('GET', path, undefined, rank, 0, waitMs + CALL_MS);
+    if (!reply.ok) return reply;
+    if (reply.value.status === 410) return err({ kind: 'gone', why: 'changes dropped' });
+    const changes = decodeAs(changesSchema, reply.value.body);
+    return changes.ok ? ok(changes.value) : this.garbled(path, changes.error);
+  }
+}
--- /dev/null
+++ b/src/coordination/controller.ts
@@ -0,0 +1,231 @@
+import { Budget, Rank } from '../transport/budget.js';
+import { DRIFT, sleep, type Clock } from '../transport/clock.js';
+import type { HttpClient, Reply, Route } from '../transport/http.js';
+import type { Log } from '../transport/log.js';
+import type { Mesh } from '../transport/mesh.js';
+import type { Random } from '../transport/random.js';
+import { decodeAs } from '../protocol/codec.js';
+import type { JobId, MemberName, TeamName } from '../protocol/ids.js';
+import { encodeError } from '../protocol/jobs.js';
+import type { Operator } from '../protocol/operator.js';
+import type { Settings, TeamLimits } from '../protocol/settings.js';
+import { Paths } from '../protocol/wire.js';
+import { encodeCommands, encodeRedirect, reportSchema } from '../protocol/workers.js';
+import { Cloud } from '../bookkeeping/cloud.js';
+import { Mirror } from '../bookkeeping/mirror.js';
+import { Store } from '../bookkeeping/store.js';
+import { Holder } from './holder.js';
+import { Peers } from './peers.js';
+import { TermKeeper } from './term.js';
+import { TypeBook } from './types.js';
+import { Users } from './users.js';
+
+export interface ControllerDeps {
+  readonly settings: Settings;
+  readonly operator: Operator;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly http: HttpClient;
+  readonly mesh: Mesh;
+  /** Differs from one life of the process to the next. */
+  readonly incarnation: number;
+}
+
+const SYNC_MS = 1000;
+
+/** One controller node: every part of it, wired. */
+export class Controller {
+  readonly term: TermKeeper;
+  readonly routes: readonly Route[];
+  readonly store: Store;
+  private readonly mirror: Mirror;
+  private readonly peers: Peers;
+  private readonly users: Users;
+  private readonly types: TypeBook;
+  private readonly cloud: Cloud;
+  private readonly teams: ReadonlyMap<TeamName, TeamLimits>;
+  private readonly requests: Budget;
+  private readonly writes: Budget;
+  holder: Holder | undefined;
+  /** How long after the last sight of all cancellations a report may be answered. */
+  private readonly blindMs: number;
+
+  constructor(private readonly d: ControllerDeps) {
+    const { settings, operator, clock, random, log } = d;
+    const { store, workers } = settings;
+    const roundReserve = 1 - operator.roundWriteShare;
+    this.requests = new Budget(clock, store.rps, {
+      [Rank.Lease]: 0,
+      [Rank.User]: 0,
+      [Rank.Finish]: 0.1,
+      [Rank.Round]: 0.3,
+    });
+    this.writes = new Budget(clock, store.writeRps, {
+      [Rank.Lease]: 0,
+      [Rank.User]: 0,
+      [Rank.Finish]: roundReserve / 2,
+      [Rank.Round]: roundReserve,
+    });
+    this.teams = new Map(settings.teams.map((t) => [t.name, t]));
+    this.store = new Store(d.http, settings.state, clock, this.requests, this.writes, log);
+    this.mirror = new Mirror(this.store, clock, random, log);
+    this.term = new TermKeeper(
+      this.store,
+      clock,
+      random,
+      log,
+      settings.member,
+      settings.listen,
+      operator.storeLeaseMs,
+    );
+    this.peers = new Peers(
+      d.mesh,
+      clock,
+      settings.member,
+      d.incarnation,
+      settings.peers.map((p) => p.member),
+      () => this.term.known,
+      () => this.storeOk(),
+    );
+    const cloudBudget = new Budget(clock, settings.cloudLimits.rps * 0.8, {
+      [Rank.Lease]: 0,
+      [Rank.User]: 0,
+      [Rank.Finish]: 0.1,
+      [Rank.Round]: 0.2,
+    });
+    this.cloud = new Cloud(d.http, settings.cloud, clock, cloudBudget);
+    this.types = new TypeBook(this.cloud, this.store, clock, random, log);
+    this.users = new Users({
+      clock,
+      log,
+      store: this.store,
+      mirror: this.mirror,
+      types: this.types,
+      peers: this.peers,
+      settings,
+      teams: this.teams,
+      counts: (id) => this.countsOf(id),
+    });
+    // A report answered now keeps its worker's tasks for up to a lease from now. A cancellation that this
+    // node may have missed since it last saw them all must find them gone within its bound.
+    this.blindMs = Math.max(1500, (workers.cancelS - workers.leaseS) * 1000 * (1 - 2 * DRIFT) - 2000);
+    this.term.onGained = (held) => {
+      this.shareRates();
+      this.holder = new Holder(
+        {
+          clock,
+          random,
+          log,
+          store: this.store,
+          mirror: this.mirror,
+          term: this.term,
+          types: this.types,
+          settings,
+          operator,
+          cloud: this.cloud,
+          http: d.http,
+          teams: this.teams,
+        },
+        held,
+      );
+      void this.holder.start();
+    };
+    this.term.onLost = () => {
+      this.holder?.stop();
+      this.holder = undefined;
+      this.shareRates();
+    };
+    this.peers.onTerm = (known) => this.term.hear(known);
+    this.peers.onCancelled = (id) => this.holder?.heardCancelled(id);
+    this.routes = this.buildRoutes();
+  }
+
+  start(): void {
+    this.shareRates();
+    this.peers.start();
+    this.term.start();
+    void this.mirror.watch();
+    void this.types.run(() => this.term.current !== undefined);
+    void this.syncLoop();
+  }
+
+  private shareRates(): void {
+    const { store } = this.d.settings;
+    const others = this.d.settings.peers.length;
+    const mine = this.term.current
+      ? this.d.operator.holderShare
+      : (1 - this.d.operator.holderShare) / Math.max(1, others);
+    this.requests.setRate(store.rps * mine);
+    this.writes.setRate(store.writeRps * mine);
+  }
+
+  private async syncLoop(): Promise<never> {
+    for (;;) {
+      if (this.d.clock.now() - this.mirror.syncedAt >= SYNC_MS * 0.8) {
+        if (await this.mirror.sync()) this.peers.anchor();
+      }
+      await sleep(this.d.clock, SYNC_MS);
+    }
+  }
+
+  private storeOk(): boolean {
+    return this.d.clock.now() - this.store.lastContact < 3500;
+  }
+
+  private countsOf(id: JobId): { done: number; running: number } | undefined {
+    const job = this.holder?.world?.jobs.get(id);
+    if (!job) return undefined;
+    let running = 0;
+    for (const p of job.placements.values()) if (p.state === 'running' && !p.ended) running++;
+    return { done: job.done.count, running };
+  }
+
+  private buildRoutes(): Route[] {
+    return [
+      { method: 'POST', path: Paths.jobs, handle: (_, body) => this.users.submit(body) },
+      { method: 'GET', path: Paths.job, handle: (params) => this.users.show(params['id'] ?? '') },
+      { method: 'POST', path: Paths.cancel, handle: (params) => this.users.cancel(params['id'] ?? '') },
+      { method: 'GET', path: Paths.health, handle: () => this.health() },
+      { method: 'POST', path: Paths.report, handle: (_, body) => this.report(body) },
+    ];
+  }
+
+  private health(): Reply {
+    const ready = this.types.known() && this.mirror.loaded;
+    // Cut off alone, users are better served elsewhere. When everybody is, being taken out of the balance
+    // helps nobody and takes long to undo.
+    const alone = !this.storeOk() && this.peers.someReachStore();
+    return ready && !alone ? { status: 200 } : { status: 503, body: encodeError('not ready') };
+  }
+
+  /**
+   * Whether a report may be answered: a newer term isn't known, and no cancellation can have been missed
+   * for so long that the lease renewed by the answer would outlive its bound.
+   */
+  private mayAnswer(): boolean {
+    const held = this.term.current;
+    if (!held) return false;
+    const heard = this.peers.confirmedAt(held.term);
+    const seen = heard !== undefined && heard > this.mirror.syncedAt ? heard : this.mirror.syncedAt;
+    return this.d.clock.now() - seen < this.blindMs;
+  }
+
+  private report(body: Uint8Array): Reply {
+    const parsed = decodeAs(reportSchema, body);
+    if (!parsed.ok) return { status: 400, body: encodeError(parsed.error) };
+    const report = parsed.value;
+    const held = this.term.current;
+    if (held && report.token > held.term) {
+      this.term.hear({ term: report.token, holder: undefined, address: undefined });
+    }
+    if (!this.term.current || !this.holder) {
+      const holder = this.term.known.holder;
+      const other: MemberName | undefined = holder === this.d.settings.member ? undefined : holder;
+      return { status: 421, body: encodeRedirect(other) };
+    }
+    if (!this.mayAnswer()) return { status: 503, body: encodeError('cut off') };
+    const commands = this.holder.onReport(report);
+    return { status: 200, body: encodeCommands(this.term.current.term, commands) };
+  }
+}
--- /dev/null
+++ b/src/coordination/fleet.ts
@@ -0,0 +1,294 @@
+import { plus, sleep, type Clock, type SteadyMs } from '../transport/clock.js';
+import type { HttpClient } from '../transport/http.js';
+import type { Log } from '../transport/log.js';
+import { jitter, type Random } from '../transport/random.js';
+import type { Hire, ListedMachine } from '../protocol/cloud.js';
+import type { MachineId, TeamName } from '../protocol/ids.js';
+import type { Operator } from '../protocol/operator.js';
+import type { Settings, TeamLimits } from '../protocol/settings.js';
+import { Paths } from '../protocol/wire.js';
+import { RETURN_MOST, type Cloud } from '../bookkeeping/cloud.js';
+import type { Machine, World } from '../bookkeeping/world.js';
+import { kindKey, LOST_BOOT, planFleet } from './fleet-planner.js';
+import { graceOf, type Unplaced } from './planner.js';
+import type { HeldTerm, TermKeeper } from './term.js';
+import type { TypeBook } from './types.js';
+
+export interface FleetDeps {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly cloud: Cloud;
+  readonly http: HttpClient;
+  readonly types: TypeBook;
+  readonly term: TermKeeper;
+  readonly settings: Settings;
+  readonly operator: Operator;
+  readonly teams: ReadonlyMap<TeamName, TeamLimits>;
+  readonly held: HeldTerm;
+}
+
+const TICK_MS = 500;
+const LIST_MS = 2000;
+const REFUSED_MS = 8000;
+
+/** Rents for work that waits, returns what idles, and fences what can't be reached by returning it. */
+export class Fleet {
+  private hires = 0;
+  private readonly refusedUntil = new Map<string, SteadyMs>();
+  private readonly refusals = new Map<string, number>();
+  private readonly pending = new Set<Hire>();
+  private readonly returning = new Set<MachineId>();
+  private readonly since: SteadyMs;
+
+  constructor(
+    private readonly d: FleetDeps,
+    private readonly world: World,
+    private readonly live: () => boolean,
+    private readonly unplaced: () => readonly Unplaced[],
+    private readonly wake: () => void,
+  ) {
+    this.since = d.clock.now();
+  }
+
+  committed(machines: readonly Machine[]): void {
+    for (const m of machines) m.idleSince = this.d.clock.now();
+  }
+
+  async run(): Promise<void> {
+    const { d } = this;
+    void this.listLoop();
+    while (this.live()) {
+      if (d.term.canDecide() && d.types.known()) this.tick();
+      await sleep(d.clock, TICK_MS);
+    }
+  }
+
+  private tick(): void {
+    const { d, world } = this;
+    const now = d.clock.now();
+    this.watchCancelled(now);
+    this.watchNotices(now);
+    this.watchSilence(now);
+    // Before the first whole list the fleet is not known: renting then would rent it twice.
+    if (this.listed === 0 || now - this.since < 500) return;
+    const plan = planFleet({
+      now,
+      world,
+      types: d.types.all(),
+      unplaced: this.unplaced(),
+      refusedUntil: this.refusedUntil,
+      pending: [...this.pending],
+      idleReturnMs: d.operator.idleReturnS * 1000,
+    });
+    for (const r of plan.rent) {
+      void this.rent({ ...r, request: `${d.held.term}-${++this.hires}` });
+    }
+    if (plan.giveBack.length > 0) void this.giveBack(plan.giveBack, 'idle');
+    const lost: MachineId[] = [];
+    for (const m of world.machines.values()) {
+      const type = d.types.all().get(m.type);
+      if (m.state !== 'booting' || !type) continue;
+      if (now - m.rentedAt > Math.max(60, LOST_BOOT * type.bootS) * 1000) lost.push(m.id);
+    }
+    if (lost.length > 0) void this.giveBack(lost, 'never came up');
+  }
+
+  // ---- rent -----------------------------------------------------------------------------------------
+
+  /** Names carry the term and a number: no other node, and no other term, can use one again. */
+  private async rent(hire: Hire): Promise<void> {
+    const { d, world } = this;
+    const key = kindKey(hire.type, hire.zone, hire.spot);
+    this.pending.add(hire);
+    const asked = d.clock.now();
+    d.log.info('rent', { request: hire.request, kind: key, count: hire.count });
+    for (let tries = 0; this.live() && tries < 8; tries++) {
+      const result = await d.cloud.rent(hire);
+      if (result.ok) {
+        const now = d.clock.now();
+        for (const id of result.value) {
+          if (!world.machines.has(id)) world.addMachine(id, hire.type, hire.zone, hire.spot, now, asked);
+        }
+        if (result.value.length < hire.count) this.refuse(key);
+        else this.refusals.delete(key);
+        d.log.info('rented', { request: hire.request, machines: result.value.join(' ') });
+        break;
+      }
+      if (result.error.kind === 'no capacity') {
+        this.refuse(key);
+        break;
+      }
+      await sleep(d.clock, jitter(d.random, 1000 * Math.min(4, 2 ** tries)));
+    }
+    this.pending.delete(hire);
+    this.wake();
+  }
+
+  private refuse(key: string): void {
+    const n = (this.refusals.get(key) ?? 0) + 1;
+    this.refusals.set(key, n);
+    const pause = REFUSED_MS * Math.min(4, 2 ** (n - 1));
+    this.refusedUntil.set(key, plus(this.d.clock.now(), pause));
+    this.d.log.info('no-capacity', { kind: key, pauseMs: pause });
+  }
+
+  // ---- return ---------------------------------------------------------------------------------------
+
+  private async giveBack(ids: readonly MachineId[], why: string): Promise<void> {
+    const { d, world } = this;
+    const names = ids.filter((id) => !this.returning.has(id)).slice(0, RETURN_MOST);
+    if (names.length === 0) return;
+    for (const id of names) {
+      this.returning.add(id);
+      const m = world.machines.get(id);
+      if (m) m.state = 'returning';
+    }
+    d.log.info('return', { machines: names.join(' '), why });
+    for (let tries = 0; this.live(); tries++) {
+      const result = await d.cloud.giveBack(names);
+      if (!this.live()) return;
+      if (result.ok) {
+        const now = d.clock.now();
+        for (const id of names) {
+          const m = world.machines.get(id);
+          if (m) world.removeMachine(m, now);
+          this.gone.set(id, now);
+        }
+        d.log.info('returned', { machines: names.join(' ') });
+        break;
+      }
+      // Surely or perhaps not done: it stays out of use and is asked for again.
+      await sleep(d.clock, jitter(d.random, 500 * Math.min(8, 2 ** tries)));
+    }
+    for (const id of names) this.returning.delete(id);
+    this.wake();
+  }
+
+  // ---- list -----------------------------------------------------------------------------------------
+
+  private listed = 0;
+  /** Returned here: lists that are behind still show them. */
+  private readonly gone = new Map<MachineId, SteadyMs>();
+
+  private async listLoop(): Promise<void> {
+    const { d } = this;
+    while (this.live()) {
+      const result = await d.cloud.list();
+      if (!this.live()) return;
+      if (result.ok) this.applyList(result.value.machines, result.value.askedAt);
+      await sleep(d.clock, jitter(d.random, LIST_MS));
+    }
+  }
+
+  private applyList(machines: readonly ListedMachine[], askedAt: SteadyMs): void {
+    const { d, world } = this;
+    this.listed++;
+    const now = d.clock.now();
+    const lagMs = d.settings.cloudLimits.listLagS * 1000;
+    const present = new Set<MachineId>();
+    const failed: MachineId[] = [];
+    for (const l of machines) {
+      present.add(l.id);
+      if (this.gone.has(l.id) || this.returning.has(l.id)) continue;
+      let m = world.machines.get(l.id);
+      if (!m) {
+        // Rented by an older holder, or by a request that came late: used, or returned as idle.
+        m = world.addMachine(l.id, l.type, l.zone, l.spot, now, (askedAt - l.ageS * 1000) as SteadyMs);
+        d.log.info('machine-listed', { machine: l.id, type: l.type, zone: l.zone, state: l.state });
+        this.wake();
+      }
+      m.listed = true;
+      if (m.address === undefined) m.address = l.address;
+      if (l.state === 'failed') {
+        // Stopped on its own: nothing runs there any more.
+        failed.push(l.id);
+        d.log.info('machine-failed', { machine: l.id, tasks: m.placements.size });
+        for (const p of m.placements) world.end(p, 'gone', now);
+      }
+    }
+    for (const m of [...world.machines.values()]) {
+      if (present.has(m.id) || this.returning.has(m.id)) continue;
+      // The list may describe a moment up to twice the lag ago; a machine known from before that moment
+      // and missing is gone.
+      if (askedAt - m.firstKnown < 2.5 * lagMs + 1000) continue;
+      if (m.lastReport !== undefined && askedAt - m.lastReport < 2.5 * lagMs + 1000) continue;
+      d.log.info('machine-gone', { machine: m.id, tasks: m.placements.size });
+      world.removeMachine(m, now);
+      this.wake();
+    }
+    for (const [id, at] of this.gone)
+      if (now - at > 10 * lagMs + 60_000 && !present.has(id)) this.gone.delete(id);
+    if (failed.length > 0) void this.giveBack(failed, 'failed');
+  }
+
+  // ---- trouble --------------------------------------------------------------------------------------
+
+  /** A cancelled task that isn't confirmed gone in good time costs its machine. */
+  private watchCancelled(now: SteadyMs): void {
+    const { workers } = this.d.settings;
+    const late: MachineId[] = [];
+    for (const job of this.world.jobs.values()) {
+      if (job.cancelledAt === undefined) continue;
+      // Half of the bound leaves the other half to the cloud's answer and its retries.
+      const limit = workers.cancelS * 500;
+      if (now - job.cancelledAt < limit) continue;
+      for (const p of job.placements.values()) if (!p.ended) late.push(p.machine.id);
+    }
+    if (late.length > 0) void this.giveBack([...new Set(late)], 'a cancelled task is not confirmed gone');
+  }
+
+  private watchNotices(now: SteadyMs): void {
+    for (const m of this.world.machines.values()) {
+      if (m.noticeAt === undefined || m.state !== 'up') continue;
+      for (const p of m.placements) {
+        if (p.ended || p.stop) continue;
+        const { spec } = p.job;
+        // What can't save may as well run on: it could be done before the machine goes.
+        if (spec.kind === 'array' && spec.checkpointS === 0) continue;
+        const all = spec.kind === 'gang' ? [...p.job.placements.values()] : [p];
+        for (const q of all) q.stop ??= { graceS: graceOf(spec), why: 'notice', at: now, sentSeq: undefined };
+        this.d.log.info('task-moved', { task: `${p.job.id}/${p.index}`, machine: m.id, why: 'notice' });
+      }
+    }
+  }
+
+  /**
+   * Silence proves nothing: another node may be renewing the worker's lease. A machine that is silent and
+   * doesn't answer a look either is fenced by returning it.
+   */
+  private watchSilence(now: SteadyMs): void {
+    const { d, world } = this;
+    const fence =
+      d.operator.silentFenceS > 0
+        ? d.operator.silentFenceS * 1000
+        : Math.max(4 * d.settings.workers.reportS * 1000, 8000);
+    const up = [...world.machines.values()].filter((m) => m.state === 'up');
+    const quiet = (m: Machine): number => now - Math.max(m.lastReport ?? 0, m.firstKnown, this.since);
+    const silent = up.filter((m) => quiet(m) > fence);
+    // Many at once point at this node's own network: then only those past their lease are given up.
+    const many = silent.length > 2 && silent.length * 3 > up.length;
+    for (const m of silent) {
+      if (this.returning.has(m.id)) continue;
+      if (many && quiet(m) < 1.5 * fence + d.settings.workers.leaseS * 1000) continue;
+      if (m.placements.size === 0 && m.strangers.length === 0 && quiet(m) < 3 * fence) continue;
+      if (m.probedAt !== undefined && now - m.probedAt < 3000) continue;
+      m.probedAt = now;
+      void this.probe(m, quiet(m), fence);
+    }
+  }
+
+  private async probe(m: Machine, quietMs: number, fence: number): Promise<void> {
+    const { d } = this;
+    const reply = m.address
+      ? await d.http.call(m.address, 'GET', Paths.inspect, undefined, 1500)
+      : ({ ok: false } as const);
+    if (!this.live() || !d.term.canDecide() || this.world.machines.get(m.id) !== m) return;
+    if (m.probedAt === undefined) return; // It reported meanwhile.
+    const answers = reply.ok && reply.value.status === 200;
+    // Alive but unable to reach this node: its tasks run on, up to the lease that nobody renews.
+    if (answers && quietMs < fence + d.settings.workers.leaseS * 1000) return;
+    d.log.info('machine-silent', { machine: m.id, quietMs: Math.round(quietMs), answers });
+    await this.giveBack([m.id], 'silent');
+  }
+}
--- /dev/null
+++ b/src/coordination/holder.ts
@@ -0,0 +1,419 @@
+import { Rank } from '../transport/budget.js';
+import { sleep, type Clock, type SteadyMs } from '../transport/clock.js';
+import type { Log } from '../transport/log.js';
+import { jitter, type Random } from '../transport/random.js';
+import type { Attempt, JobId, Mark } from '../protocol/ids.js';
+import type { Operator } from '../protocol/operator.js';
+import type { Settings } from '../protocol/settings.js';
+import type { Command, Report } from '../protocol/workers.js';
+import type { Mirror, MirroredRow } from '../bookkeeping/mirror.js';
+import {
+  fits,
+  Keys,
+  planId,
+  rangesOf,
+  seal,
+  type Plan,
+  type PlanGroup,
+  type PlanJob,
+  type Row,
+} from '../bookkeeping/records.js';
+import type { Store } from '../bookkeeping/store.js';
+import type { Job, Machine, World } from '../bookkeeping/world.js';
+import { handleReport } from './command.js';
+import { Fleet, type FleetDeps } from './fleet.js';
+import { loadWorld, steadyOf } from './load.js';
+import { planRound, type PlannedTask, type Unplaced } from './planner.js';
+import { nextSettlement } from './settle.js';
+import type { HeldTerm, TermKeeper } from './term.js';
+import type { TypeBook } from './types.js';
+
+export interface HolderDeps extends Omit<FleetDeps, 'held'> {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly store: Store;
+  readonly mirror: Mirror;
+  readonly term: TermKeeper;
+  readonly types: TypeBook;
+  readonly settings: Settings;
+  readonly operator: Operator;
+}
+
+/** All that one term's holder does. It lives for one term only: a new term starts from the store again. */
+export class Holder {
+  world: World | undefined;
+  private alive = true;
+  private dirty = true;
+  private wakeUp: (() => void) | undefined;
+  private round = 0;
+  private fleet: Fleet | undefined;
+  unplaced: readonly Unplaced[] = [];
+  private nudge: (() => void) | undefined;
+
+  constructor(
+    private readonly d: HolderDeps,
+    private readonly held: HeldTerm,
+  ) {}
+
+  stop(): void {
+    this.alive = false;
+    this.d.mirror.listen(undefined);
+    this.wakeUp?.();
+    this.nudge?.();
+  }
+
+  private live(): boolean {
+    return this.alive && this.d.term.current === this.held;
+  }
+
+  async start(): Promise<void> {
+    const { d } = this;
+    while (this.live()) {
+      const world = await loadWorld(d.store, d.clock, d.log, this.held.term);
+      if (!this.live()) return;
+      if (world.ok) {
+        this.world = world.value;
+        break;
+      }
+      d.log.info('load-failed', { why: world.error });
+      await sleep(d.clock, jitter(d.random, 200));
+    }
+    if (!this.world) return;
+    d.mirror.listen((id, row, mark) => this.onRow(id, row, mark));
+    await d.mirror.sync();
+    // Rows may have come between the load and the listening.
+    for (const [id, row] of d.mirror.entries()) this.onRow(id, row, row.mark);
+    this.fleet = new Fleet(
+      { ...d, held: this.held },
+      this.world,
+      () => this.live(),
+      () => this.unplaced,
+      () => this.wake(),
+    );
+    void this.roundLoop();
+    void this.settleLoop();
+    void this.garbageLoop();
+    void this.fleet.run();
+  }
+
+  wake(): void {
+    this.dirty = true;
+    this.wakeUp?.();
+    this.nudge?.();
+  }
+
+  /** Somebody else's write: an accepted job, a cancelled one. */
+  private onRow(id: JobId, row: MirroredRow | undefined, mark: Mark): void {
+    const { world } = this;
+    if (!world || !this.live()) return;
+    const job = world.jobs.get(id);
+    if (!row) return; // Only the holder removes rows, and has done with the job then.
+    if (!job) {
+      if (world.ended.has(id)) return;
+      const added = world.addJob(
+        row.row,
+        mark,
+        steadyOf(this.d.clock, row.row.acceptedAt),
+        row.row.state === 'cancelled' ? this.d.clock.now() : undefined,
+      );
+      this.d.log.info('job-seen', { job: id, class: added.spec.class, tasks: added.spec.tasks });
+      this.wake();
+      return;
+    }
+    if (mark <= job.mark) return;
+    job.mark = mark;
+    job.row = row.row;
+    if (row.row.state === 'cancelled') this.cancelled(job);
+  }
+
+  private cancelled(job: Job): void {
+    if (job.cancelledAt !== undefined) return;
+    const now = this.d.clock.now();
+    job.cancelledAt = now;
+    this.d.log.info('job-cancelled', { job: job.id, tasks: job.placements.size });
+    for (const p of job.placements.values()) {
+      p.stop = { graceS: 0, why: 'cancelled', at: now, sentSeq: undefined };
+    }
+    this.wake();
+  }
+
+  /** A peer's word of a cancellation, which may come before the store's. */
+  heardCancelled(id: JobId): void {
+    const job = this.world?.jobs.get(id);
+    if (job) this.cancelled(job);
+  }
+
+  onReport(report: Report): readonly Command[] {
+    const { world, d } = this;
+    if (!world) return [];
+    const commands = [
+      ...handleReport(
+        {
+          world,
+          clock: d.clock,
+          log: d.log,
+          term: this.held.term,
+          mayStart: () => d.term.canDecide(),
+          wake: () => this.wake(),
+        },
+        report,
+      ),
+    ];
+    return commands;
+  }
+
+  // ---- rounds: plan, commit -------------------------------------------------------------------------
+
+  private async roundLoop(): Promise<void> {
+    const { d } = this;
+    let last = (d.clock.now() - 1000) as SteadyMs;
+    while (this.live()) {
+      if (!this.dirty) {
+        // Time alone changes things too: back-offs end, machines fall silent.
+        const timer = d.clock.after(1000, () => this.wakeUp?.());
+        await new Promise<void>((resolve) => (this.wakeUp = resolve));
+        timer.cancel();
+      }
+      const wait = d.operator.roundMs - (d.clock.now() - last);
+      if (wait > 0) await sleep(d.clock, wait);
+      if (!this.live()) return;
+      this.dirty = false;
+      last = d.clock.now();
+      if (d.term.canDecide() && d.types.known()) await this.oneRound();
+    }
+  }
+
+  private async oneRound(): Promise<void> {
+    const { d, world } = this;
+    if (!world) return;
+    const { workers, store } = d.settings;
+    const result = planRound({
+      now: d.clock.now(),
+      world,
+      types: d.types.all(),
+      teams: d.teams,
+      staleMs: workers.reportS * 2500,
+      maxTasks: d.operator.roundTasks,
+      maxJobs: store.txnOps - 2,
+      preemptAfterMs: 1500,
+    });
+    this.unplaced = result.unplaced;
+    const now = d.clock.now();
+    for (const s of result.stops) {
+      const all = s.placement.job.spec.kind === 'gang' ? s.placement.job.placements.values() : [s.placement];
+      for (const p of all) p.stop ??= { graceS: s.graceS, why: 'preempted', at: now, sentSeq: undefined };
+      d.log.info('task-preempted', {
+        task: `${s.placement.job.id}/${s.placement.index}`,
+        machine: s.placement.machine.id,
+        for: s.forJob,
+      });
+    }
+    if (result.tasks.length > 0) await this.commit(world, result.tasks);
+  }
+
+  /** Plan, receipt and rows in one transaction that conditions on the term and on every row's mark. */
+  private async commit(world: World, tasks: readonly PlannedTask[]): Promise<void> {
+    const { d } = this;
+    const id = planId(this.held.term, ++this.round);
+    const { plan, taken } = this.buildPlan(id, tasks);
+    const sealed = seal(plan);
+    const jobs = [...new Set(taken.map((t) => t.job))];
+    const rows = new Map<Job, Row>();
+    for (const job of jobs) {
+      rows.set(job, {
+        ...job.row,
+        state: 'running',
+        generation: job.row.generation + 1,
+        term: this.held.term,
+        attempt: job.row.attempt + 1,
+        done: job.done.count,
+      });
+    }
+    const sessions = new Map(taken.map((t) => [t.machine, t.machine.session]));
+    for (const m of sessions.keys()) m.rounds++;
+    const outcome = await d.store.txn(
+      [
+        { key: Keys.holder, mark: this.held.mark },
+        { key: Keys.plan(id), mark: 0n as Mark },
+        { key: Keys.receipt(id), mark: 0n as Mark },
+        ...jobs.map((j) => ({ key: Keys.job(j.id), mark: j.mark })),
+      ],
+      [
+        { op: 'put', key: Keys.plan(id), value: sealed },
+        {
+          op: 'put',
+          key: Keys.receipt(id),
+          value: seal({ plan: id, sum: sealed.sum, term: this.held.term }),
+        },
+        ...jobs.map((j) => ({ op: 'put' as const, key: Keys.job(j.id), value: seal(rows.get(j)) })),
+      ],
+      Rank.Round,
+    );
+    for (const m of sessions.keys()) m.rounds--;
+    if (!this.live()) return;
+    if (!outcome.ok) {
+      if (outcome.error.kind === 'unknown') return this.d.term.rise('a round without an answer');
+      d.log.info('round-not-committed', { plan: id, why: outcome.error.why });
+      await sleep(d.clock, jitter(d.random, 200));
+      this.dirty = true;
+      return;
+    }
+    if (outcome.value.kind === 'conflict') return this.conflict(outcome.value.failed, id);
+    const mark = outcome.value.revision as unknown as Mark;
+    const now = d.clock.now();
+    world.plans.set(id, { id, open: taken.length, returned: new Map(), hasRevision: false });
+    for (const job of jobs) {
+      job.everStarted = true;
+      // A cancellation may have been written, and heard of, between this commit and its answer.
+      if (mark < job.mark) continue;
+      job.row = rows.get(job)!;
+      job.mark = mark;
+    }
+    for (const t of taken) {
+      const session = sessions.get(t.machine)!;
+      const p = world.place(
+        t.job,
+        t.index,
+        BigInt(rows.get(t.job)!.attempt) as Attempt,
+        t.machine,
+        session,
+        id,
+        now,
+      );
+      if (world.machines.get(t.machine.id) !== t.machine || t.machine.session !== session) {
+        world.end(p, 'gone', now);
+      } else if (t.job.cancelledAt !== undefined) {
+        p.stop = { graceS: 0, why: 'cancelled', at: now, sentSeq: undefined };
+      }
+    }
+    d.log.info('round-committed', {
+      plan: id,
+      tasks: taken.length,
+      jobs: jobs.map((j) => j.id).join(' '),
+      machines: [...sessions.keys()].map((m) => m.id).join(' '),
+    });
+    this.fleet?.committed([...sessions.keys()]);
+    this.dirty = true;
+  }
+
+  private async conflict(failed: readonly string[], what: string): Promise<void> {
+    const { d } = this;
+    if (failed.includes(Keys.holder)) return d.term.lose('the fence refused a write');
+    d.log.info('commit-conflict', { plan: what, keys: failed.slice(0, 3).join(' ') });
+    // A row changed under the round: a cancellation, most likely. Read it and plan again.
+    if (!(await d.mirror.sync())) await sleep(d.clock, jitter(d.random, 200));
+    this.dirty = true;
+  }
+
+  /** As many of the tasks as one stored value holds; a gang whole or not at all. */
+  private buildPlan(
+    id: Plan['id'],
+    tasks: readonly PlannedTask[],
+  ): { plan: Plan; taken: readonly PlannedTask[] } {
+    const byJob = new Map<Job, PlannedTask[]>();
+    for (const t of tasks) {
+      const list = byJob.get(t.job);
+      if (list) list.push(t);
+      else byJob.set(t.job, [t]);
+    }
+    const jobs: PlanJob[] = [];
+    const taken: PlannedTask[] = [];
+    const valueKb = this.d.settings.store.valueKb;
+    for (const [job, list] of byJob) {
+      let part: readonly PlannedTask[] = list;
+      for (;;) {
+        const entry = planJob(job, part);
+        if (fits(seal({ id, term: this.held.term, jobs: [...jobs, entry] }), valueKb)) {
+          jobs.push(entry);
+          taken.push(...part);
+          break;
+        }
+        if (job.spec.kind === 'gang' || part.length <= 1) break;
+        part = part.slice(0, Math.floor(part.length / 2));
+      }
+    }
+    return { plan: { id, term: this.held.term, jobs }, taken };
+  }
+
+  // ---- finish ---------------------------------------------------------------------------------------
+
+  private async settleLoop(): Promise<void> {
+    const { d } = this;
+    while (this.live()) {
+      const now = d.clock.now();
+      const guard = { key: Keys.holder, mark: this.held.mark };
+      const work =
+        this.world && d.term.canDecide()
+          ? nextSettlement(this.world, guard, d.settings.store.txnOps, now)
+          : undefined;
+      if (!work) {
+        const timer = d.clock.after(250, () => this.nudge?.());
+        await new Promise<void>((resolve) => (this.nudge = resolve));
+        timer.cancel();
+        // News of one moment come in several reports.
+        await sleep(d.clock, 30);
+        continue;
+      }
+      const outcome = await d.store.txn(work.conditions, work.changes, Rank.Finish);
+      if (!this.live()) return;
+      if (!outcome.ok) {
+        if (outcome.error.kind === 'unknown') return d.term.rise('an end without an answer');
+        await sleep(d.clock, jitter(d.random, 200));
+      } else if (outcome.value.kind === 'conflict') {
+        await this.conflict(outcome.value.failed, 'settlement');
+        await sleep(d.clock, 30);
+      } else {
+        const mark = outcome.value.revision as unknown as Mark;
+        work.apply(mark);
+        d.log.info('ends-committed', { jobs: work.jobs.join(' '), tasks: work.placements });
+        this.wake();
+      }
+    }
+  }
+
+  private async garbageLoop(): Promise<void> {
+    const { d } = this;
+    while (this.live()) {
+      await sleep(d.clock, 1000);
+      const { world } = this;
+      if (!world || !this.live() || !d.term.canDecide()) continue;
+      for (const plan of world.plans.values()) {
+        if (plan.open > 0) continue;
+        world.plans.delete(plan.id);
+        world.garbage.add(Keys.plan(plan.id)).add(Keys.receipt(plan.id));
+        if (plan.hasRevision) world.garbage.add(Keys.revision(plan.id));
+      }
+      const keys = [...world.garbage].slice(0, d.settings.store.txnOps);
+      if (keys.length === 0) continue;
+      const outcome = await d.store.txn(
+        [{ key: Keys.holder, mark: this.held.mark }],
+        keys.map((key) => ({ op: 'delete', key })),
+        Rank.Round,
+      );
+      // Removing twice does no harm, so a lost answer needs no more than another try.
+      if (outcome.ok && outcome.value.kind === 'committed') for (const key of keys) world.garbage.delete(key);
+    }
+  }
+}
+
+function planJob(job: Job, tasks: readonly PlannedTask[]): PlanJob {
+  const byMachine = new Map<Machine, number[]>();
+  for (const t of tasks) {
+    const list = byMachine.get(t.machine);
+    if (list) list.push(t.index);
+    else byMachine.set(t.machine, [t.index]);
+  }
+  return {
+    job: job.id,
+    attempt: BigInt(job.row.attempt + 1) as Attempt,
+    on: [...byMachine].map(([m, indices]): PlanGroup => ({
+      machine: m.id,
+      session: m.session,
+      type: m.type,
+      zone: m.zone,
+      spot: m.spot,
+      tasks: rangesOf(indices),
+    })),
+  };
+}
--- /dev/null
+++ b/src/coordination/load.ts
@@ -0,0 +1,162 @@
+import { Rank } from '../transport/budget.js';
+import type { Clock, SteadyMs } from '../transport/clock.js';
+import type { Log } from '../transport/log.js';
+import { err, ok, type Result } from '../transport/result.js';
+import type { Attempt, JobId, PlanId, StoreKey, Term } from '../protocol/ids.js';
+import {
+  finishSchema,
+  indicesOf,
+  Keys,
+  Prefix,
+  readPlan,
+  receiptSchema,
+  revisionSchema,
+  rowSchema,
+  unseal,
+  type PlanGroup,
+} from '../bookkeeping/records.js';
+import type { Store } from '../bookkeeping/store.js';
+import { World, type Job } from '../bookkeeping/world.js';
+
+/** A time of day as the steady clock would have shown it; only ages for ordering and patience hang on it. */
+export const steadyOf = (clock: Clock, wall: number): SteadyMs =>
+  (clock.now() - Math.max(0, clock.wall() - wall)) as SteadyMs;
+
+/**
+ * Rebuilds the world from rows, finish records, plans, receipts and revisions, read in pages of 128 after
+ * the term was taken: no older holder can change them any more. Every task of a committed plan that is
+ * neither done nor returned is possibly on its machine until that machine has spoken.
+ */
+export async function loadWorld(
+  store: Store,
+  clock: Clock,
+  log: Log,
+  term: Term,
+): Promise<Result<World, string>> {
+  const world = new World(term);
+  const now = clock.now();
+  const read = (prefix: string) => store.range(prefix, Rank.User);
+  const [rows, finishes, plans, receipts, revisions] = await Promise.all([
+    read(Prefix.job),
+    read(Prefix.finish),
+    read(Prefix.plan),
+    read(Prefix.receipt),
+    read(Prefix.revision),
+  ]);
+  for (const part of [rows, finishes, plans, receipts, revisions]) if (!part.ok) return err(part.error.why);
+  if (!rows.ok || !finishes.ok || !plans.ok || !receipts.ok || !revisions.ok) return err('unreachable');
+
+  for (const e of rows.value.entries) {
+    const row = unseal(rowSchema, e.value);
+    if (!row.ok) {
+      log.error('row-unreadable', { key: e.key, why: row.error });
+      continue;
+    }
+    const cancelledAt = row.value.cancelledAt;
+    world.addJob(
+      row.value,
+      e.mark,
+      steadyOf(clock, row.value.acceptedAt),
+      row.value.state === 'cancelled' ? steadyOf(clock, cancelledAt ?? clock.wall()) : undefined,
+    );
+  }
+  for (const e of finishes.value.entries) {
+    const [id, chunk] = e.key.slice(Prefix.finish.length).split('/') as [JobId, string];
+    const job = world.jobs.get(id);
+    const record = unseal(finishSchema, e.value);
+    if (!job) world.garbage.add(e.key);
+    else if (!record.ok) log.error('finish-record-unreadable', { key: e.key, why: record.error });
+    else {
+      job.done.load(Number(chunk), record.value.bits);
+      job.finishChunks.add(Number(chunk));
+    }
+  }
+  const sums = new Map<PlanId, string>();
+  for (const e of receipts.value.entries) {
+    const receipt = unseal(receiptSchema, e.value);
+    if (receipt.ok) sums.set(receipt.value.plan, receipt.value.sum);
+    else log.error('receipt-unreadable', { key: e.key, why: receipt.error });
+  }
+  const returned = new Map<PlanId, Map<JobId, number[]>>();
+  for (const e of revisions.value.entries) {
+    const revision = unseal(revisionSchema, e.value);
+    if (!revision.ok) {
+      // Its tasks then count as possibly on: too careful, never too bold.
+      log.error('revision-unreadable', { key: e.key, why: revision.error });
+      continue;
+    }
+    returned.set(
+      revision.value.plan,
+      new Map(revision.value.returned.map((r) => [r.job, indicesOf(r.tasks)])),
+    );
+  }
+  for (const e of plans.value.entries) {
+    const plan = readPlan(e.value);
+    if (!plan.ok) {
+      log.error('plan-unreadable', { key: e.key, why: plan.error });
+      continue;
+    }
+    const { id } = plan.value.plan;
+    if (sums.get(id) !== plan.value.sum) {
+      // Same identity, another payload: never to be run, never to be overlooked.
+      log.error('plan-without-matching-receipt', { plan: id });
+      continue;
+    }
+    const back = returned.get(id) ?? new Map<JobId, number[]>();
+    world.plans.set(id, { id, open: 0, returned: new Map(back), hasRevision: returned.has(id) });
+    for (const part of plan.value.plan.jobs) {
+      const job = world.jobs.get(part.job);
+      if (!job) continue;
+      const gone = new Set(back.get(part.job) ?? []);
+      for (const group of part.on) replayGroup(world, job, id, part.attempt, group, gone, now);
+    }
+  }
+  for (const machine of world.machines.values()) {
+    // A later plan knew a later session: what was there before it is gone.
+    for (const p of machine.placements) if (p.session < machine.session) world.end(p, 'gone', now);
+  }
+  for (const plan of [...world.plans.values()]) {
+    if (plan.open > 0) continue;
+    world.plans.delete(plan.id);
+    const keys: StoreKey[] = [Keys.plan(plan.id), Keys.receipt(plan.id)];
+    if (plan.hasRevision) keys.push(Keys.revision(plan.id));
+    for (const key of keys) world.garbage.add(key);
+  }
+  log.info('world-rebuilt', {
+    term,
+    jobs: world.jobs.size,
+    plans: world.plans.size,
+    machines: world.machines.size,
+    garbage: world.garbage.size,
+  });
+  return ok(world);
+}
+
+function replayGroup(
+  world: World,
+  job: Job,
+  plan: PlanId,
+  attempt: Attempt,
+  group: PlanGroup,
+  gone: ReadonlySet<number>,
+  now: SteadyMs,
+): void {
+  let machine = world.machines.get(group.machine);
+  if (!machine) {
+    machine = world.addMachine(group.machine, group.type, group.zone, group.spot, now, now);
+    machine.state = 'up';
+  }
+  if (group.session > machine.session) machine.session = group.session;
+  for (const index of indicesOf(group.tasks)) {
+    if (gone.has(index) || job.done.has(index)) continue;
+    const older = job.placements.get(index);
+    if (older) {
+      // Plans come in the order of their commits: the later one had proof that the older was gone.
+      const olderPlan = world.plans.get(older.plan);
+      if (olderPlan) olderPlan.open--;
+      older.machine.placements.delete(older);
+    }
+    world.place(job, index, attempt, machine, group.session, plan, now);
+    world.plans.get(plan)!.open++;
+  }
+}
--- /dev/null
+++ b/src/coordination/planner.ts
@@ -0,0 +1,397 @@
+import type { SteadyMs } from '../transport/clock.js';
+import type { MachineType } from '../protocol/cloud.js';
+import type { JobId, TaskIndex, TeamName, TypeName, ZoneName } from '../protocol/ids.js';
+import { priorityRank, type JobSpec } from '../protocol/jobs.js';
+import type { TeamLimits } from '../protocol/settings.js';
+import {
+  teamUse,
+  waitingTasks,
+  type Job,
+  type Machine,
+  type Placement,
+  type Use,
+  type World,
+} from '../bookkeeping/world.js';
+
+/** What a round is planned from. The planner only reads it, and the same snapshot gives the same plan. */
+export interface Snapshot {
+  readonly now: SteadyMs;
+  readonly world: World;
+  readonly types: ReadonlyMap<TypeName, MachineType>;
+  readonly teams: ReadonlyMap<TeamName, TeamLimits>;
+  /** Machines that did not report for so long get no new tasks. */
+  readonly staleMs: number;
+  readonly maxTasks: number;
+  readonly maxJobs: number;
+  /** How long a job waits before running work is stopped for it. */
+  readonly preemptAfterMs: number;
+}
+
+export interface PlannedTask {
+  readonly job: Job;
+  readonly index: TaskIndex;
+  readonly machine: Machine;
+}
+
+export type WaitReason = 'team limit' | 'no room' | 'backing off' | 'old attempt not gone' | 'round full';
+
+export interface Unplaced {
+  readonly job: Job;
+  readonly count: number;
+  readonly reason: WaitReason;
+}
+
+export interface RoundPlan {
+  readonly tasks: readonly PlannedTask[];
+  readonly stops: readonly {
+    readonly placement: Placement;
+    readonly graceS: number;
+    readonly forJob: JobId;
+  }[];
+  readonly unplaced: readonly Unplaced[];
+}
+
+interface Room {
+  readonly machine: Machine;
+  readonly type: MachineType;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  reserved: boolean;
+}
+
+const EPS = 1e-9;
+
+export const roomFor = (room: { cpus: number; gpus: number; memoryGb: number }, s: JobSpec): boolean =>
+  room.cpus + EPS >= s.cpus && room.gpus + EPS >= s.gpus && room.memoryGb + EPS >= s.memoryGb;
+
+export const fitsType = (s: JobSpec, t: MachineType): boolean =>
+  (s.types === null || s.types.includes(t.name)) && roomFor(t, s);
+
+/** Stopping a task so that its progress is kept, where it can save at all. */
+export const graceOf = (s: JobSpec): number => (s.checkpointS > 0 ? s.saveS * 1.5 + 2 : 0);
+
+/** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
+export function withinGuarantee(
+  jobs: Iterable<Job>,
+  teams: ReadonlyMap<TeamName, TeamLimits>,
+): ReadonlySet<JobId> {
+  const byAge = [...jobs].sort((a, b) => a.row.acceptedAt - b.row.acceptedAt || (a.id < b.id ? -1 : 1));
+  const sums = new Map<TeamName, Use>();
+  const within = new Set<JobId>();
+  for (const job of byAge) {
+    if (job.cancelledAt !== undefined) continue;
+    const team = teams.get(job.spec.team);
+    if (!team) continue;
+    const use = sums.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+    const n = job.spec.tasks - job.done.count;
+    use.cpus += n * job.spec.cpus;
+    use.gpus += n * job.spec.gpus;
+    sums.set(job.spec.team, use);
+    if (team.cpus <= 0 && team.gpus <= 0) continue;
+    if ((team.cpus <= 0 || use.cpus <= team.cpus + EPS) && (team.gpus <= 0 || use.gpus <= team.gpus + EPS)) {
+      within.add(job.id);
+    }
+  }
+  return within;
+}
+
+/** Guarantees first, then priority, then age. */
+export function jobOrder(jobs: Iterable<Job>, within: ReadonlySet<JobId>): Job[] {
+  return [...jobs].sort(
+    (a, b) =>
+      Number(within.has(b.id)) - Number(within.has(a.id)) ||
+      priorityRank(a.spec.priority) - priorityRank(b.spec.priority) ||
+      a.row.acceptedAt - b.row.acceptedAt ||
+      (a.id < b.id ? -1 : 1),
+  );
+}
+
+export const usable = (m: Machine, s: Snapshot): boolean =>
+  m.state === 'up' &&
+  m.trusted &&
+  m.lastReport !== undefined &&
+  s.now - m.lastReport <= s.staleMs &&
+  m.noticeAt === undefined &&
+  m.suspectUntil <= s.now &&
+  m.strangers.length === 0;
+
+/** Tasks of the job possibly on machines, by zone; what is proven off doesn't bind. */
+function zonesOf(job: Job): Map<ZoneName, number> {
+  const zones = new Map<ZoneName, number>();
+  for (const p of job.placements.values()) {
+    if (!p.ended) zones.set(p.machine.zone, (zones.get(p.machine.zone) ?? 0) + 1);
+  }
+  return zones;
+}
+
+/** A job is bound by its own tasks elsewhere: one zone for all, or at most half, rounded up, in one. */
+export function zoneAllowed(spec: JobSpec, zones: ReadonlyMap<ZoneName, number>, zone: ZoneName): boolean {
+  if (spec.zone !== null && spec.zone !== zone) return false;
+  if (spec.oneZone) for (const z of zones.keys()) if (z !== zone) return false;
+  if (spec.spread) {
+    const here = (zones.get(zone) ?? 0) + 1;
+    let on = 1;
+    for (const n of zones.values()) on += n;
+    if (here > Math.ceil(on / 2)) return false;
+  }
+  return true;
+}
+
+/** A placement may be stopped for a job: lower priority, or borrowed room claimed by a guarantee. */
+function preemptible(p: Placement, job: Job, within: ReadonlySet<JobId>): boolean {
+  if (p.ended || p.job.id === job.id) return false;
+  if (priorityRank(p.job.spec.priority) > priorityRank(job.spec.priority)) return true;
+  return within.has(job.id) && !within.has(p.job.id) && p.job.spec.team !== job.spec.team;
+}
+
+/** Work lost by stopping: what ran since the last checkpoint, by the room it took. */
+function lossOf(p: Placement, now: SteadyMs): number {
+  const ran = p.runningSince === undefined ? 0 : (now - p.runningSince) / 1000;
+  const lost = p.job.spec.checkpointS > 0 ? p.job.spec.saveS : ran;
+  return (1 + lost) * (p.job.spec.gpus + p.job.spec.cpus / 100);
+}
+
+class RoundPlanner {
+  readonly rooms: Room[] = [];
+  readonly tasks: PlannedTask[] = [];
+  readonly stops: { placement: Placement; graceS: number; forJob: JobId }[] = [];
+  readonly unplaced: Unplaced[] = [];
+  private readonly use: Map<TeamName, Use>;
+  private readonly within: ReadonlySet<JobId>;
+  private readonly jobsInRound = new Set<JobId>();
+  private readonly strangers = new Set<string>();
+
+  constructor(private readonly s: Snapshot) {
+    this.use = teamUse(s.world);
+    this.within = withinGuarantee(s.world.jobs.values(), s.teams);
+    for (const m of s.world.machines.values()) {
+      for (const t of m.strangers) this.strangers.add(`${t.job}/${t.index}`);
+      const type = s.types.get(m.type);
+      if (!type || !usable(m, s)) continue;
+      const room: Room = {
+        machine: m,
+        type,
+        cpus: type.cpus,
+        gpus: type.gpus,
+        memoryGb: type.memoryGb,
+        reserved: false,
+      };
+      for (const p of m.placements) if (!p.ended) this.occupy(room, p.job.spec, 1);
+      this.rooms.push(room);
+    }
+  }
+
+  private occupy(room: Room, s: JobSpec, n: number): void {
+    room.cpus -= n * s.cpus;
+    room.gpus -= n * s.gpus;
+    room.memoryGb -= n * s.memoryGb;
+  }
+
+  private underLimit(s: JobSpec, n: number): boolean {
+    const team = this.s.teams.get(s.team);
+    if (!team) return false;
+    const use = this.use.get(s.team) ?? { cpus: 0, gpus: 0 };
+    return (
+      (team.cpusMax <= 0 || use.cpus + n * s.cpus <= team.cpusMax + EPS) &&
+      (team.gpusMax <= 0 || use.gpus + n * s.gpus <= team.gpusMax + EPS)
+    );
+  }
+
+  private charge(s: JobSpec, n: number): void {
+    const use = this.use.get(s.team) ?? { cpus: 0, gpus: 0 };
+    use.cpus += n * s.cpus;
+    use.gpus += n * s.gpus;
+    this.use.set(s.team, use);
+  }
+
+  run(): RoundPlan {
+    for (const job of jobOrder(this.s.world.jobs.values(), this.within)) {
+      if (job.cancelledAt === undefined) this.planJob(job);
+    }
+    return { tasks: this.tasks, stops: this.stops, unplaced: this.unplaced };
+  }
+
+  private planJob(job: Job): void {
+    const { spec } = job;
+    const left = this.s.maxTasks - this.tasks.length;
+    const waiting = waitingTasks(job, spec.kind === 'gang' ? spec.tasks : Math.max(1, left)).filter(
+      (i) => !this.strangers.has(`${job.id}/${i}`),
+    );
+    if (waiting.length === 0) return;
+    const put = (reason: WaitReason, count = waiting.length): void =>
+      void this.unplaced.push({ job, count, reason });
+    if (job.notBefore > this.s.now) return put('backing off');
+    if (spec.kind === 'gang') {
+      // All or nothing: a new attempt starts when the old one is gone to the last task.
+      if (job.placements.size > 0 || job.done.count > 0) return put('old attempt not gone');
+      if (!this.underLimit(spec, spec.tasks)) return put('team limit');
+      if (!this.roundHasRoom(job, spec.tasks)) return put('round full');
+      const chosen = this.placeGang(job, waiting);
+      if (!chosen) {
+        this.makeRoom(job, waiting.length);
+        return put('no room');
+      }
+      this.accept(job, waiting, chosen);
+      return;
+    }
+    const zones = zonesOf(job);
+    for (let k = 0; k < waiting.length; k++) {
+      const rest = waiting.length - k;
+      if (!this.underLimit(spec, 1)) return put('team limit', rest);
+      if (!this.roundHasRoom(job, 1)) return put('round full', rest);
+      const room = this.pick(job, zones, () => true);
+      if (!room) {
+        this.makeRoom(job, rest);
+        return put('no room', rest);
+      }
+      zones.set(room.machine.zone, (zones.get(room.machine.zone) ?? 0) + 1);
+      this.accept(job, [waiting[k]!], [room]);
+    }
+  }
+
+  private roundHasRoom(job: Job, n: number): boolean {
+    const first = this.tasks.length === 0;
+    if (!this.jobsInRound.has(job.id) && this.jobsInRound.size >= this.s.maxJobs) return false;
+    return first || this.tasks.length + n <= this.s.maxTasks;
+  }
+
+  private accept(job: Job, indices: readonly TaskIndex[], rooms: readonly Room[]): void {
+    this.jobsInRound.add(job.id);
+    indices.forEach((index, k) => this.tasks.push({ job, index, machine: rooms[k]!.machine }));
+    for (let k = 0; k < indices.length; k++) {
+      if (job.spec.kind !== 'gang') this.occupy(rooms[k]!, job.spec, 1);
+    }
+    this.charge(job.spec, indices.length);
+  }
+
+  private eligible(job: Job, zones: ReadonlyMap<ZoneName, number>, room: Room): boolean {
+    const { spec } = job;
+    const m = room.machine;
+    if (m.spot && !spec.spot) return false;
+    if (spec.types !== null && !spec.types.includes(m.type)) return false;
+    if ((job.avoid.get(m.id) ?? 0) > this.s.now) return false;
+    return zoneAllowed(spec, zones, m.zone);
+  }
+
+  /**
+   * The design's rule: a machine that holds the image, else the one with most free room. Before it comes,
+   * as an extension, the kind of machine: work that fits a small type leaves the big ones whole for work
+   * that fits nothing else.
+   */
+  private pick(
+    job: Job,
+    zones: ReadonlyMap<ZoneName, number>,
+    also: (room: Room) => boolean,
+  ): Room | undefined {
+    let best: Room | undefined;
+    let bestScore: readonly number[] = [];
+    for (const room of this.rooms) {
+      if (room.reserved || !roomFor(room, job.spec) || !this.eligible(job, zones, room) || !also(room))
+        continue;
+      const score = [
+        Number(job.spec.spot && room.machine.spot),
+        Number(this.holdsImage(room.machine, job)),
+        -room.type.gpus - room.type.cpus / 1000,
+        room.gpus + room.cpus / 1000,
+      ];
+      if (!best || compare(score, bestScore) > 0) {
+        best = room;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  private holdsImage(m: Machine, job: Job): boolean {
+    return m.images.has(job.spec.image);
+  }
+
+  private placeGang(job: Job, waiting: readonly TaskIndex[]): Room[] | undefined {
+    const zones = job.spec.oneZone ? [...new Set(this.rooms.map((r) => r.machine.zone))].sort() : [undefined];
+    let best: { rooms: Room[]; images: number } | undefined;
+    for (const zone of zones) {
+      const rooms: Room[] = [];
+      const counted = zonesOf(job);
+      for (let k = 0; k < waiting.length; k++) {
+        const room = this.pick(job, counted, (r) => zone === undefined || r.machine.zone === zone);
+        if (!room) break;
+        counted.set(room.machine.zone, (counted.get(room.machine.zone) ?? 0) + 1);
+        this.occupy(room, job.spec, 1);
+        rooms.push(room);
+      }
+      for (const room of rooms) this.occupy(room, job.spec, -1);
+      if (rooms.length < waiting.length) continue;
+      const images = rooms.filter((r) => this.holdsImage(r.machine, job)).length;
+      if (!best || images > best.images) best = { rooms, images };
+    }
+    if (best) for (const room of best.rooms) this.occupy(room, job.spec, 1);
+    return best?.rooms;
+  }
+
+  /**
+   * No machine has room: one is kept free of lower-ranked work for this job, and running work that may be
+   * stopped for it is stopped, where the least is lost.
+   */
+  private makeRoom(job: Job, count: number): void {
+    const { spec } = job;
+    const zones = zonesOf(job);
+    let wanted = Math.min(count, 64);
+    const candidates: { room: Room; stops: Placement[]; loss: number; waiting: boolean }[] = [];
+    for (const room of this.rooms) {
+      if (room.reserved || !this.eligible(job, zones, room) || !roomFor(room.type, spec)) continue;
+      const free = { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb };
+      const give = (p: Placement): void => {
+        free.cpus += p.job.spec.cpus;
+        free.gpus += p.job.spec.gpus;
+        free.memoryGb += p.job.spec.memoryGb;
+      };
+      for (const p of room.machine.placements) if (!p.ended && p.stop) give(p);
+      if (roomFor(free, spec)) {
+        candidates.push({ room, stops: [], loss: 0, waiting: true });
+        continue;
+      }
+      const victims = [...room.machine.placements]
+        .filter((p) => !p.stop && preemptible(p, job, this.within))
+        .sort((a, b) => lossOf(a, this.s.now) - lossOf(b, this.s.now));
+      const stops: Placement[] = [];
+      let loss = 0;
+      for (const p of victims) {
+        give(p);
+        stops.push(p);
+        loss += lossOf(p, this.s.now) * p.job.placements.size ** (p.job.spec.kind === 'gang' ? 1 : 0);
+        if (roomFor(free, spec)) break;
+      }
+      if (roomFor(free, spec)) candidates.push({ room, stops, loss, waiting: false });
+    }
+    candidates.sort((a, b) => Number(b.waiting) - Number(a.waiting) || a.loss - b.loss);
+    // One zone for all: only rooms of the zone that can take most of them help.
+    const zone = spec.oneZone ? mostCommon(candidates.map((c) => c.room.machine.zone)) : undefined;
+    const patient = this.s.now - job.acceptedAt < this.s.preemptAfterMs;
+    for (const c of candidates) {
+      if (wanted <= 0) break;
+      if (zone !== undefined && c.room.machine.zone !== zone) continue;
+      wanted--;
+      c.room.reserved = true;
+      if (patient) continue;
+      for (const placement of c.stops) {
+        this.stops.push({ placement, graceS: graceOf(placement.job.spec), forJob: job.id });
+      }
+    }
+  }
+}
+
+function mostCommon<T>(values: readonly T[]): T | undefined {
+  const counts = new Map<T, number>();
+  for (const v of values) counts.set(v, (counts.get(v) ?? 0) + 1);
+  let best: T | undefined;
+  for (const [v, n] of counts) if (best === undefined || n > counts.get(best)!) best = v;
+  return best;
+}
+
+function compare(a: readonly number[], b: readonly number[]): number {
+  for (let i = 0; i < a.length; i++) if (a[i] !== b[i]) return a[i]! - b[i]!;
+  return 0;
+}
+
+export const planRound = (snapshot: Snapshot): RoundPlan => new RoundPlanner(snapshot).run();
--- /dev/null
+++ b/src/coordination/term.ts
@@ -0,0 +1,252 @@
+import { Rank } from '../transport/budget.js';
+import { DRIFT, sleep, type Clock, type SteadyMs } from '../transport/clock.js';
+import type { Log } from '../transport/log.js';
+import { jitter, type Random } from '../transport/random.js';
+import { parse } from '../protocol/codec.js';
+import {
+  NO_MARK,
+  type Address,
+  type LeaseId,
+  type Mark,
+  type MemberName,
+  type Term,
+} from '../protocol/ids.js';
+import type { Condition } from '../protocol/state.js';
+import {
+  epochSchema,
+  holderSchema,
+  Keys,
+  Prefix,
+  seal,
+  unseal,
+  type HolderRecord,
+} from '../bookkeeping/records.js';
+import type { Store } from '../bookkeeping/store.js';
+import type { KnownTerm } from './peers.js';
+
+export interface HeldTerm {
+  readonly term: Term;
+  readonly mark: Mark;
+  readonly lease: LeaseId;
+}
+
+interface Seen {
+  readonly holder: { readonly record: HolderRecord; readonly mark: Mark } | undefined;
+  readonly epoch: { readonly term: Term; readonly mark: Mark };
+}
+
+/**
+ * One controller holds the term: a key on its store lease. Its rise claims all rows at once; a row is
+ * stamped at its next write. Every write of the holder conditions on the mark of this key, so whatever an
+ * older holder still has on its way fails, however late it comes.
+ */
+export class TermKeeper {
+  private held: HeldTerm | undefined;
+  private validUntil: SteadyMs;
+  private newest: KnownTerm = { term: 0n as Term, holder: undefined, address: undefined };
+  onGained: (held: HeldTerm) => void = () => undefined;
+  onLost: (why: string) => void = () => undefined;
+  private rising: Promise<void> | undefined;
+
+  constructor(
+    private readonly store: Store,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly log: Log,
+    private readonly self: MemberName,
+    private readonly address: Address,
+    private readonly leaseMs: number,
+  ) {
+    this.validUntil = clock.now();
+  }
+
+  get current(): HeldTerm | undefined {
+    return this.held;
+  }
+
+  get known(): KnownTerm {
+    return this.newest;
+  }
+
+  /** The store lease surely stands: new decisions may be made. */
+  canDecide(): boolean {
+    return this.held !== undefined && this.clock.now() < this.validUntil;
+  }
+
+  guard(): Condition | undefined {
+    return this.held ? { key: Keys.holder, mark: this.held.mark } : undefined;
+  }
+
+  hear(known: KnownTerm): void {
+    if (known.term > this.newest.term || (known.term === this.newest.term && !this.newest.holder)) {
+      this.newest = known;
+    }
+    const ownRise = this.rising !== undefined && known.holder === this.self;
+    if (this.held && known.term > this.held.term && !ownRise) this.lose('a newer term exists');
+  }
+
+  lose(why: string): void {
+    if (!this.held) return;
+    this.log.info('term-lost', { term: this.held.term, why });
+    const { lease } = this.held;
+    this.held = undefined;
+    this.onLost(why);
+    void this.store.endLease(lease);
+  }
+
+  start(): void {
+    void this.renewLoop();
+    void this.watchLoop();
+  }
+
+  private async renewLoop(): Promise<never> {
+    for (;;) {
+      await sleep(this.clock, this.leaseMs / 5);
+      const held = this.held;
+      if (held) void this.renew(held);
+    }
+  }
+
+  private async renew(held: HeldTerm): Promise<void> {
+    const sent = this.clock.now();
+    const result = await this.store.renewLease(held.lease, this.leaseMs / 2);
+    if (this.held?.lease !== held.lease) return;
+    if (result.ok && result.value === 'renewed') this.extend(sent);
+    else if (result.ok) this.lose('store lease ended');
+  }
+
+  private extend(sent: SteadyMs): void {
+    const until = (sent + this.leaseMs * (1 - DRIFT)) as SteadyMs;
+    if (until > this.validUntil) this.validUntil = until;
+  }
+
+  private async read(): Promise<(Seen & { revision: bigint }) | undefined> {
+    const range = await this.store.range(Prefix.term, Rank.Lease);
+    if (!range.ok) return undefined;
+    let holder: Seen['holder'];
+    let epoch: Seen['epoch'] = { term: 0n as Term, mark: NO_MARK };
+    for (const e of range.value.entries) {
+      if (e.key === Keys.holder) {
+        const record = unseal(holderSchema, e.value);
+        if (record.ok) holder = { record: record.value, mark: e.mark };
+        else this.log.error('holder-record-unreadable', { why: record.error });
+      } else if (e.key === Keys.epoch) {
+        const record = unseal(epochSchema, e.value);
+        if (record.ok) epoch = { term: record.value.term, mark: e.mark };
+      }
+    }
+    if (holder) {
+      this.hear({ term: holder.record.term, holder: holder.record.member, address: holder.record.address });
+    }
+    return { holder, epoch, revision: range.value.revision };
+  }
+
+  private async watchLoop(): Promise<never> {
+    for (;;) {
+      const seen = await this.read();
+      if (!seen) {
+        await sleep(this.clock, jitter(this.random, 300));
+        continue;
+      }
+      if (!seen.holder) {
+        if (this.held && !this.rising) this.lose('the term key is gone');
+        if (!this.held && (await this.take(seen))) continue;
+      } else if (seen.holder.record.member === this.self && seen.holder.record.lease !== this.held?.lease) {
+        // An earlier life of this very member: it is surely dead, so its lease needn't run out.
+        this.log.info('term-of-earlier-life', { term: seen.holder.record.term });
+        await this.store.endLease(seen.holder.record.lease);
+        continue;
+      } else if (this.held && seen.holder.record.lease !== this.held.lease && !this.rising) {
+        this.lose('another node holds the term');
+      }
+      const changes = await this.store.changes(Prefix.term, seen.revision as never, 4000, Rank.Lease);
+      if (!changes.ok) await sleep(this.clock, jitter(this.random, 300));
+    }
+  }
+
+  private async take(seen: Seen): Promise<boolean> {
+    const sent = this.clock.now();
+    const lease = await this.store.grantLease(this.leaseMs);
+    if (!lease.ok) {
+      await sleep(this.clock, jitter(this.random, 200));
+      return true;
+    }
+    const held = await this.write(seen, lease.value, NO_MARK);
+    if (!held) {
+      void this.store.endLease(lease.value);
+      await sleep(this.clock, jitter(this.random, 100));
+      return true;
+    }
+    this.gain(held, sent);
+    return true;
+  }
+
+  private gain(held: HeldTerm, granted?: SteadyMs): void {
+    this.held = held;
+    if (granted !== undefined) this.extend(granted);
+    this.newest = { term: held.term, holder: this.self, address: this.address };
+    this.log.info('term-taken', { term: held.term });
+    this.onGained(held);
+  }
+
+  private async write(seen: Seen, lease: LeaseId, holderMark: Mark): Promise<HeldTerm | undefined> {
+    const top = seen.epoch.term > this.newest.term ? seen.epoch.term : this.newest.term;
+    const term = (top + 1n) as Term;
+    const record: HolderRecord = { member: this.self, term, lease, address: this.address };
+    const done = await this.store.txn(
+      [
+        { key: Keys.holder, mark: holderMark },
+        { key: Keys.epoch, mark: seen.epoch.mark },
+      ],
+      [
+        { op: 'put', key: Keys.holder, value: seal(record), lease },
+        { op: 'put', key: Keys.epoch, value: seal({ term }) },
+      ],
+      Rank.Lease,
+    );
+    if (done.ok) {
+      return done.value.kind === 'committed'
+        ? { term, mark: done.value.revision as unknown as Mark, lease }
+        : undefined;
+    }
+    if (done.error.kind !== 'unknown') return undefined;
+    // The answer is lost. Read what is; the lease ends when this fails, and a late transaction with it.
+    const entry = await this.store.get(Keys.holder, Rank.Lease);
+    if (!entry.ok || !entry.value) return undefined;
+    const now = parse(holderSchema, (entry.value.value as { body?: unknown }).body);
+    if (!now.ok || now.value.lease !== lease || now.value.term !== term) return undefined;
+    return { term, mark: entry.value.mark, lease };
+  }
+
+  /**
+   * A commit's answer was lost: it may still be applied later. The holder takes a new term under the same
+   * lease, which makes all it had on its way fail, and rebuilds from the store.
+   */
+  rise(why: string): Promise<void> {
+    this.rising ??= this.riseOnce(why).finally(() => (this.rising = undefined));
+    return this.rising;
+  }
+
+  private async riseOnce(why: string): Promise<void> {
+    const before = this.held;
+    if (!before) return;
+    this.log.info('term-rises', { term: before.term, why });
+    for (;;) {
+      if (this.held !== before) return;
+      const seen = await this.read();
+      if (this.held !== before) return;
+      if (seen) {
+        if (!seen.holder || seen.holder.record.lease !== before.lease)
+          return this.lose('term key changed hands');
+        const held = await this.write(seen, before.lease, seen.holder.mark);
+        if (this.held !== before) return;
+        if (held) {
+          this.held = undefined;
+          this.onLost('risen');
+          return this.gain(held);
+        }
+      }
+      await sleep(this.clock, jitter(this.random, 200));
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/users.ts
@@ -0,0 +1,267 @@
+import { Rank } from '../transport/budget.js';
+import type { Clock } from '../transport/clock.js';
+import type { Reply } from '../transport/http.js';
+import type { Log } from '../transport/log.js';
+import { decodeAs } from '../protocol/codec.js';
+import { JOB_ID, NO_MARK, type JobId, type StoreKey, type TeamName, type Term } from '../protocol/ids.js';
+import { encodeError, encodeJobAnswer, submission, type JobAnswer, type JobSpec } from '../protocol/jobs.js';
+import type { Settings, TeamLimits } from '../protocol/settings.js';
+import type { Mirror, MirroredRow } from '../bookkeeping/mirror.js';
+import {
+  endSchema,
+  fits,
+  Keys,
+  seal,
+  unseal,
+  type EndRecord,
+  type Row,
+  type Sealed,
+} from '../bookkeeping/records.js';
+import type { Store } from '../bookkeeping/store.js';
+import type { Peers } from './peers.js';
+import { fitsType } from './planner.js';
+import type { TypeBook } from './types.js';
+
+export interface UsersDeps {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly store: Store;
+  readonly mirror: Mirror;
+  readonly types: TypeBook;
+  readonly peers: Peers;
+  readonly settings: Settings;
+  readonly teams: ReadonlyMap<TeamName, TeamLimits>;
+  /** Counts for display, where this node knows better than the row. */
+  readonly counts: (id: JobId) => { done: number; running: number } | undefined;
+}
+
+const refuse = (status: number, message: string): Reply => ({ status, body: encodeError(message) });
+
+/** The service can't say now: told at once, with the time to come back. */
+const later = (why: string): Reply => ({
+  status: 503,
+  body: encodeError(why),
+  headers: { 'retry-after': '1' },
+});
+
+interface Pending {
+  readonly spec: JobSpec;
+  readonly sealed: Sealed;
+  readonly answer: (reply: Reply) => void;
+}
+
+const KEEP_ENDED = 20_000;
+
+/** The users' side: any node takes jobs and cancellations, straight to the store. */
+export class Users {
+  private queue: Pending[] = [];
+  private flights = 0;
+  /** Terminal states never change, so they are answered from memory. */
+  private readonly ended = new Map<JobId, EndRecord>();
+
+  constructor(private readonly d: UsersDeps) {}
+
+  private storeAway(): boolean {
+    return this.d.clock.now() - this.d.store.lastContact > 4000;
+  }
+
+  // ---- submit ---------------------------------------------------------------------------------------
+
+  async submit(body: Uint8Array): Promise<Reply> {
+    const { d } = this;
+    const parsed = decodeAs(submission, body);
+    if (!parsed.ok) return refuse(400, parsed.error);
+    const spec = parsed.value;
+    if (this.ended.has(spec.id)) return this.stateOf(spec.id);
+    const known = d.mirror.get(spec.id);
+    if (known) return this.stateOf(spec.id);
+    if (this.storeAway()) return later('the state service is not reachable');
+    if (!d.types.known()) return later('the machine types are not known yet');
+    const never = this.neverRuns(spec);
+    if (never !== undefined) {
+      // A repeat of an accepted job must not be refused, whatever became of the types since.
+      const now = await this.stateOf(spec.id);
+      return now.status === 404 ? refuse(422, never) : now;
+    }
+    const row: Row = {
+      spec,
+      state: 'queued',
+      generation: 0,
+      term: 0n as Term,
+      attempt: 0,
+      done: 0,
+      acceptedAt: d.clock.wall(),
+      cancelledAt: null,
+    };
+    const sealed = seal(row);
+    if (!fits(sealed, d.settings.store.valueKb)) return refuse(400, 'the submission is too large');
+    return new Promise((answer) => {
+      this.queue.push({ spec, sealed, answer });
+      void this.flush();
+    });
+  }
+
+  private neverRuns(spec: JobSpec): string | undefined {
+    const team = this.d.teams.get(spec.team);
+    if (!team) return `unknown team '${spec.team}'`;
+    if (![...this.d.types.all().values()].some((t) => fitsType(spec, t))) {
+      return 'a task fits no allowed machine type';
+    }
+    const n = spec.kind === 'array' ? 1 : spec.tasks;
+    if (team.gpusMax > 0 && n * spec.gpus > team.gpusMax + 1e-9)
+      return `needs more GPUs than the limit of '${team.name}'`;
+    if (team.cpusMax > 0 && n * spec.cpus > team.cpusMax + 1e-9)
+      return `needs more CPUs than the limit of '${team.name}'`;
+    return undefined;
+  }
+
+  /** Accepts that come together share a transaction; the first doesn't wait for others. */
+  private async flush(): Promise<void> {
+    const { d } = this;
+    while (this.queue.length > 0 && this.flights < 2) {
+      this.flights++;
+      const batch: Pending[] = [];
+      const seen = new Set<JobId>();
+      const rest: Pending[] = [];
+      for (const p of this.queue) {
+        if (batch.length < d.settings.store.txnOps && !seen.has(p.spec.id)) {
+          seen.add(p.spec.id);
+          batch.push(p);
+        } else rest.push(p);
+      }
+      this.queue = rest;
+      await this.accept(batch);
+      this.flights--;
+    }
+  }
+
+  private async accept(batch: readonly Pending[]): Promise<void> {
+    const { d } = this;
+    const outcome = await d.store.txn(
+      batch.flatMap((p) => [
+        { key: Keys.job(p.spec.id), mark: NO_MARK },
+        { key: Keys.end(p.spec.id), mark: NO_MARK },
+      ]),
+      batch.map((p) => ({ op: 'put', key: Keys.job(p.spec.id), value: p.sealed })),
+      Rank.User,
+    );
+    if (!outcome.ok) {
+      d.log.info('not-accepted', { jobs: batch.length, why: outcome.error.why });
+      // Even if the transaction comes later: the same id then finds its job accepted.
+      for (const p of batch) p.answer(later('the state service did not take it'));
+      return;
+    }
+    if (outcome.value.kind === 'committed') {
+      for (const p of batch) {
+        d.log.info('job-accepted', { job: p.spec.id, class: p.spec.class });
+        p.answer({ status: 201, body: encodeJobAnswer({ id: p.spec.id, state: 'queued' }) });
+      }
+      return;
+    }
+    const failed = new Set<StoreKey>(outcome.value.failed);
+    const again: Pending[] = [];
+    for (const p of batch) {
+      if (failed.has(Keys.job(p.spec.id)) || failed.has(Keys.end(p.spec.id))) {
+        void this.stateOf(p.spec.id).then((reply) =>
+          p.answer(reply.status === 404 ? later('the job is changing') : reply),
+        );
+      } else again.push(p);
+    }
+    if (again.length > 0) await this.accept(again);
+  }
+
+  // ---- poll -----------------------------------------------------------------------------------------
+
+  async show(id: string): Promise<Reply> {
+    if (!JOB_ID.test(id)) return refuse(404, 'no such job');
+    return this.stateOf(id as JobId);
+  }
+
+  private async stateOf(id: JobId): Promise<Reply> {
+    const ended = this.ended.get(id);
+    if (ended) return this.endReply(id, ended);
+    if (this.storeAway()) return later('the state service is not reachable');
+    // From the store, so that no answer is older than one that any node gave.
+    if (!(await this.d.mirror.sync())) return later('the state service did not answer');
+    const found = this.d.mirror.get(id);
+    if (found) return this.rowReply(id, found);
+    const end = await this.readEnd(id);
+    if (end === 'unreachable') return later('the state service did not answer');
+    return end ? this.endReply(id, end) : refuse(404, 'no such job');
+  }
+
+  private async readEnd(id: JobId): Promise<EndRecord | undefined | 'unreachable'> {
+    const entry = await this.d.store.get(Keys.end(id), Rank.User);
+    if (!entry.ok) return 'unreachable';
+    if (!entry.value) return undefined;
+    const end = unseal(endSchema, entry.value.value);
+    if (!end.ok) {
+      this.d.log.error('end-record-unreadable', { job: id, why: end.error });
+      return 'unreachable';
+    }
+    this.ended.set(id, end.value);
+    if (this.ended.size > KEEP_ENDED) {
+      const oldest = this.ended.keys().next().value;
+      if (oldest !== undefined) this.ended.delete(oldest);
+    }
+    return end.value;
+  }
+
+  private endReply(id: JobId, end: EndRecord): Reply {
+    const answer: JobAnswer = { id, state: end.state, done: end.done, running: 0 };
+    return { status: 200, body: encodeJobAnswer(answer) };
+  }
+
+  private rowReply(id: JobId, found: MirroredRow): Reply {
+    const { row } = found;
+    const counts = this.d.counts(id) ?? { done: row.done, running: 0 };
+    const answer: JobAnswer = { id, state: row.state, ...counts };
+    return { status: 200, body: encodeJobAnswer(answer) };
+  }
+
+  // ---- cancel ---------------------------------------------------------------------------------------
+
+  async cancel(id: string): Promise<Reply> {
+    if (!JOB_ID.test(id)) return refuse(404, 'no such job');
+    const { d } = this;
+    const job = id as JobId;
+    const asState = (state: 'done' | 'cancelled'): Reply => ({
+      status: 200,
+      body: encodeJobAnswer({ id: job, state }),
+    });
+    for (let tries = 0; tries < 4; tries++) {
+      const ended = this.ended.get(job);
+      if (ended) return asState(ended.state);
+      if (this.storeAway() || !(await d.mirror.sync())) return later('the state service did not answer');
+      const found = d.mirror.get(job);
+      if (!found) {
+        const end = await this.readEnd(job);
+        if (end === 'unreachable') return later('the state service did not answer');
+        return end ? asState(end.state) : refuse(404, 'no such job');
+      }
+      if (found.row.state === 'cancelled') {
+        d.peers.noteCancelled(job);
+        return asState('cancelled');
+      }
+      const row: Row = {
+        ...found.row,
+        state: 'cancelled',
+        generation: found.row.generation + 1,
+        cancelledAt: d.clock.wall(),
+      };
+      const outcome = await d.store.txn(
+        [{ key: Keys.job(job), mark: found.mark }],
+        [{ op: 'put', key: Keys.job(job), value: seal(row) }],
+        Rank.User,
+      );
+      if (!outcome.ok) return later('the state service did not take it');
+      if (outcome.value.kind === 'committed') {
+        d.log.info('cancel-accepted', { job });
+        d.peers.noteCancelled(job);
+        void d.mirror.sync();
+        return asState('cancelled');
+      }
+    }
+    return later('the job is changing');
+  }
+}
--- /dev/null
+++ b/src/protocol/codec.ts
@@ -0,0 +1,48 @@
+import { decode as cborDecode, encode as cborEncode } from 'cborg';
+import { z } from 'zod';
+import { err, ok, type Result } from '../transport/result.js';
+
+export type Data = unknown;
+
+export const encode = (value: unknown): Uint8Array => cborEncode(value);
+
+export function decode(bytes: Uint8Array): Result<Data, string> {
+  try {
+    return ok(cborDecode(bytes));
+  } catch {
+    return err('body is not CBOR');
+  }
+}
+
+const MAX_U64 = 2n ** 64n - 1n;
+
+/** A count, version, token or attempt: any integer below 2^64, always a bigint inside. */
+export const u64 = z
+  .union([z.number().int().nonnegative(), z.bigint()])
+  .transform((v) => BigInt(v))
+  .refine((v) => v >= 0n && v <= MAX_U64, 'must be an integer below 2^64');
+
+export const amount = z.number().nonnegative();
+
+/** zod's finding as one line that names the field. */
+export function fault(error: z.ZodError): string {
+  const issue = error.issues[0];
+  if (!issue) return 'invalid';
+  const where = issue.path.map(String).join('.');
+  return where === '' ? issue.message : `${where}: ${issue.message}`;
+}
+
+export function parse<T>(schema: z.ZodType<T>, value: unknown): Result<T, string> {
+  const result = schema.safeParse(value);
+  return result.success ? ok(result.data) : err(fault(result.error));
+}
+
+export function decodeAs<T>(schema: z.ZodType<T>, bytes: Uint8Array | undefined): Result<T, string> {
+  if (!bytes) return err('no body');
+  const data = decode(bytes);
+  return data.ok ? parse(schema, data.value) : data;
+}
+
+/** Size as the protocol counts it: in the JSON form. */
+export const jsonSize = (value: unknown): number =>
+  Buffer.byteLength(JSON.stringify(value, (_, v: unknown) => (typeof v === 'bigint' ? Number(v) : v)) ?? '');
--- /dev/null
+++ b/src/protocol/ids.ts
@@ -0,0 +1,36 @@
+/** Ids, versions and amounts are types of their own, so that a mark can't be passed for a term. */
+type Brand<T, B extends string> = T & { readonly __brand: B };
+
+export type JobId = Brand<string, 'JobId'>;
+export type TeamName = Brand<string, 'TeamName'>;
+export type MachineId = Brand<string, 'MachineId'>;
+export type ImageName = Brand<string, 'ImageName'>;
+export type TypeName = Brand<string, 'TypeName'>;
+export type ZoneName = Brand<string, 'ZoneName'>;
+export type MemberName = Brand<string, 'MemberName'>;
+export type PlanId = Brand<string, 'PlanId'>;
+export type StoreKey = Brand<string, 'StoreKey'>;
+export type Address = Brand<string, 'Address'>;
+export type TaskIndex = Brand<number, 'TaskIndex'>;
+
+/** Integers of the wire reach 2^64. */
+export type Term = Brand<bigint, 'Term'>;
+export type Session = Brand<bigint, 'Session'>;
+export type Seq = Brand<bigint, 'Seq'>;
+export type Mark = Brand<bigint, 'Mark'>;
+export type Revision = Brand<bigint, 'Revision'>;
+export type LeaseId = Brand<bigint, 'LeaseId'>;
+export type Attempt = Brand<bigint, 'Attempt'>;
+
+export const NO_MARK = 0n as Mark;
+export const JOB_ID = /^req-[0-9]{1,18}$/;
+
+export const taskName = (job: JobId, index: TaskIndex): string => `${job}/${index}`;
+
+export function parseTaskName(name: string): { job: JobId; index: TaskIndex } | undefined {
+  const slash = name.lastIndexOf('/');
+  if (slash < 1) return undefined;
+  const index = Number(name.slice(slash + 1));
+  if (!Number.isSafeInteger(index) || index < 0) return undefined;
+  return { job: name.slice(0, slash) as JobId, index: index as TaskIndex };
+}
--- /dev/null
+++ b/src/protocol/operator.ts
@@ -0,0 +1,122 @@
+import { createRequire } from 'node:module';
+import { err, ok, type Result } from '../transport/result.js';
+
+/**
+ * The operators' own settings: a file of S-expressions such as
+ *
+ *     (store-lease-ms 4000) ; how long a silent holder keeps the term
+ *     (idle-return-s 40)
+ *
+ * All have defaults; an unknown name is refused with its position.
+ */
+export interface Operator {
+  readonly storeLeaseMs: number;
+  readonly roundMs: number;
+  readonly roundTasks: number;
+  readonly roundWriteShare: number;
+  readonly idleReturnS: number;
+  readonly silentFenceS: number;
+  readonly holderShare: number;
+}
+
+interface Knob {
+  readonly field: keyof Operator;
+  readonly fallback: number;
+  readonly min: number;
+  readonly max: number;
+  readonly meaning: string;
+}
+
+export const KNOBS: Readonly<Record<string, Knob>> = {
+  'store-lease-ms': {
+    field: 'storeLeaseMs',
+    fallback: 4000,
+    min: 500,
+    max: 600_000,
+    meaning: 'store lease of the term',
+  },
+  'round-ms': {
+    field: 'roundMs',
+    fallback: 100,
+    min: 10,
+    max: 10_000,
+    meaning: 'least time between two rounds',
+  },
+  'round-tasks': {
+    field: 'roundTasks',
+    fallback: 400,
+    min: 1,
+    max: 10_000,
+    meaning: 'most tasks in one plan',
+  },
+  'round-write-share': {
+    field: 'roundWriteShare',
+    fallback: 0.6,
+    min: 0.05,
+    max: 0.95,
+    meaning: 'share of the write rate that rounds may use',
+  },
+  'idle-return-s': {
+    field: 'idleReturnS',
+    fallback: 0,
+    min: 0,
+    max: 86_400,
+    meaning: 'idle time before a machine is returned; 0: as long as it would take to boot',
+  },
+  'silent-fence-s': {
+    field: 'silentFenceS',
+    fallback: 0,
+    min: 0,
+    max: 3600,
+    meaning: 'silence before a machine is fenced; 0: four reports',
+  },
+  'holder-share': {
+    field: 'holderShare',
+    fallback: 0.7,
+    min: 0.34,
+    max: 0.9,
+    meaning: "the term holder's share of the state service's rates",
+  },
+};
+
+interface Node {
+  readonly type: 'list' | 'atom' | 'string';
+  readonly content: string | readonly Node[];
+  readonly location: { readonly start: { readonly line: number; readonly column: number } };
+}
+
+const { parse } = createRequire(import.meta.url)('sexpr-plus') as { parse(text: string): readonly Node[] };
+
+export function defaultOperator(): Operator {
+  return Object.fromEntries(Object.values(KNOBS).map((k) => [k.field, k.fallback])) as unknown as Operator;
+}
+
+export function parseOperator(text: string): Result<Operator, readonly string[]> {
+  let nodes: readonly Node[];
+  try {
+    nodes = parse(text);
+  } catch (e) {
+    return err([`not S-expressions: ${(e as Error).message.split('\n')[0]}`]);
+  }
+  const faults: string[] = [];
+  const values: Record<string, number> = { ...defaultOperator() };
+  const seen = new Set<string>();
+  for (const node of nodes) {
+    const at = `line ${node.location.start.line}, column ${node.location.start.column}`;
+    const parts = node.type === 'list' ? (node.content as readonly Node[]) : [];
+    if (parts.length !== 2 || parts.some((p) => p.type !== 'atom')) {
+      faults.push(`${at}: expected (name number)`);
+      continue;
+    }
+    const name = parts[0]!.content as string;
+    const knob = Object.hasOwn(KNOBS, name) ? KNOBS[name] : undefined;
+    const value = Number(parts[1]!.content);
+    if (!knob) faults.push(`${at}: unknown setting '${name}'`);
+    else if (seen.has(name)) faults.push(`${at}: '${name}' is set twice`);
+    else if (!Number.isFinite(value) || value < knob.min || value > knob.max) {
+      faults.push(`${at}: '${name}' must be a number from ${knob.min} to ${knob.max}`);
+    } else values[knob.field] = value;
+    seen.add(name);
+  }
+  return faults.length > 0 ? err(faults) : ok(values as unknown as Operator);
+}
--- /dev/null
+++ b/src/protocol/state.ts
@@ -0,0 +1,84 @@
+import { z } from 'zod';
+import { encode, u64, type Data } from './codec.js';
+import type { LeaseId, Mark, Revision, StoreKey } from './ids.js';
+import { F, Paths } from './wire.js';
+
+export interface Entry {
+  readonly key: StoreKey;
+  readonly value: Data;
+  readonly mark: Mark;
+}
+
+export type Change =
+  | { readonly op: 'put'; readonly key: StoreKey; readonly value: Data; readonly lease?: LeaseId }
+  | { readonly op: 'delete'; readonly key: StoreKey };
+
+export interface Condition {
+  readonly key: StoreKey;
+  readonly mark: Mark;
+}
+
+export type StoreEvent =
+  | { readonly op: 'put'; readonly key: StoreKey; readonly value: Data; readonly mark: Mark }
+  | { readonly op: 'delete'; readonly key: StoreKey; readonly mark: Mark };
+
+const entry = z
+  .object({ [F.key]: z.string(), [F.value]: z.unknown(), [F.mark]: u64 })
+  .transform((w): Entry => ({ key: w[F.key] as StoreKey, value: w[F.value], mark: w[F.mark] as Mark }));
+
+export const entrySchema = entry;
+export const missingSchema = z.object({ [F.revision]: u64 }).transform((w) => w[F.revision] as Revision);
+export const rangeSchema = z
+  .object({ [F.items]: z.array(entry), [F.more]: z.boolean().nullish(), [F.revision]: u64 })
+  .transform((w) => ({ entries: w[F.items], more: w[F.more] ?? false, revision: w[F.revision] as Revision }));
+export const committedSchema = missingSchema;
+export const conflictSchema = z
+  .object({ [F.failed]: z.array(z.string()), [F.revision]: u64 })
+  .transform((w) => ({ failed: w[F.failed] as StoreKey[], revision: w[F.revision] as Revision }));
+export const leaseSchema = z.object({ [F.lease]: u64 }).transform((w) => w[F.lease] as LeaseId);
+export const changesSchema = z
+  .object({
+    [F.revision]: u64,
+    [F.events]: z.array(
+      z.object({
+        [F.put]: z.string().optional(),
+        [F.delete]: z.string().optional(),
+        [F.value]: z.unknown().optional(),
+        [F.mark]: u64,
+      }),
+    ),
+  })
+  .transform((w) => ({
+    revision: w[F.revision] as Revision,
+    events: w[F.events].map((e): StoreEvent => {
+      const mark = e[F.mark] as Mark;
+      const put = e[F.put];
+      return put === undefined
+        ? { op: 'delete', key: (e[F.delete] ?? '') as StoreKey, mark }
+        : { op: 'put', key: put as StoreKey, value: e[F.value], mark };
+    }),
+  }));
+
+export const wireTxn = (
+  conditions: readonly Condition[],
+  changes: readonly Change[],
+): Record<string, unknown> => ({
+  [F.if]: conditions.map((c) => ({ [F.key]: c.key, [F.mark]: c.mark })),
+  [F.then]: changes.map((c) =>
+    c.op === 'delete'
+      ? { [F.delete]: c.key }
+      : { [F.put]: c.key, [F.value]: c.value, ...(c.lease === undefined ? {} : { [F.lease]: c.lease }) },
+  ),
+});
+
+export const encodeTxn = (conditions: readonly Condition[], changes: readonly Change[]): Uint8Array =>
+  encode(wireTxn(conditions, changes));
+
+export const keyPath = (key: StoreKey): string => `${Paths.keys}/${key}`;
+export const rangePath = (prefix: string, after: string | undefined, limit: number): string =>
+  `${Paths.keys}?${F.prefix}=${prefix}${after === undefined ? '' : `&${F.after}=${after}`}&${F.limit}=${limit}`;
+export const changesPath = (prefix: string, after: Revision, waitMs: number): string =>
+  `${Paths.changes}?${F.prefix}=${prefix}&${F.after}=${after}&${F.waitMs}=${waitMs}`;
+export const leasePath = (lease: LeaseId): string => `${Paths.leases}/${lease}`;
+export const renewPath = (lease: LeaseId): string => `${Paths.leases}/${lease}${Paths.renewEnd}`;
+export const encodeTtl = (ttlMs: number): Uint8Array => encode({ [F.ttlMs]: ttlMs });
--- /dev/null
+++ b/src/protocol/workers.ts
@@ -0,0 +1,169 @@
+import { z } from 'zod';
+import { amount, encode, u64 } from './codec.js';
+import {
+  parseTaskName,
+  taskName,
+  type Address,
+  type Attempt,
+  type JobId,
+  type MachineId,
+  type MemberName,
+  type Seq,
+  type Session,
+  type TaskIndex,
+  type Term,
+  type TypeName,
+  type ZoneName,
+} from './ids.js';
+import { Causes, F, invert, Ops, TaskStates, type Cause, type TaskState } from './wire.js';
+
+export interface ReportedTask {
+  readonly job: JobId;
+  readonly index: TaskIndex;
+  readonly attempt: Attempt;
+  readonly state: TaskState;
+  readonly cause?: Cause;
+  readonly saved: boolean;
+}
+
+export interface Report {
+  readonly machine: MachineId;
+  readonly address: Address;
+  readonly type: TypeName;
+  readonly zone: ZoneName;
+  readonly spot: boolean;
+  readonly session: Session;
+  readonly seq: Seq;
+  readonly token: Term;
+  readonly noticeS: number | null;
+  readonly tasks: readonly ReportedTask[];
+}
+
+const states = invert(TaskStates);
+const causes = invert(Causes);
+
+export const reportSchema = z
+  .object({
+    [F.machine]: z.string().min(1),
+    [F.address]: z.string().min(1),
+    [F.type]: z.string().min(1),
+    [F.zone]: z.string().min(1),
+    [F.spot]: z.boolean(),
+    [F.session]: u64,
+    [F.seq]: u64,
+    [F.token]: u64,
+    [F.noticeS]: amount.nullish(),
+    [F.tasks]: z.array(
+      z.object({
+        [F.task]: z.string(),
+        [F.attempt]: u64,
+        [F.state]: z.string(),
+        [F.cause]: z.string().nullish(),
+        [F.saved]: z.boolean().nullish(),
+      }),
+    ),
+  })
+  .transform((w): Report => {
+    const tasks: ReportedTask[] = [];
+    for (const t of w[F.tasks]) {
+      const name = parseTaskName(t[F.task]);
+      if (!name) continue;
+      const cause = causes.get(t[F.cause] ?? '');
+      tasks.push({
+        ...name,
+        attempt: t[F.attempt] as Attempt,
+        // A state this version doesn't know still means that the task is on the machine.
+        state: states.get(t[F.state]) ?? 'running',
+        ...(cause ? { cause } : {}),
+        saved: t[F.saved] ?? false,
+      });
+    }
+    return {
+      machine: w[F.machine] as MachineId,
+      address: w[F.address] as Address,
+      type: w[F.type] as TypeName,
+      zone: w[F.zone] as ZoneName,
+      spot: w[F.spot],
+      session: w[F.session] as Session,
+      seq: w[F.seq] as Seq,
+      token: w[F.token] as Term,
+      noticeS: w[F.noticeS] ?? null,
+      tasks,
+    };
+  });
+
+export const encodeReport = (r: Report): Uint8Array =>
+  encode({
+    [F.machine]: r.machine,
+    [F.address]: r.address,
+    [F.type]: r.type,
+    [F.zone]: r.zone,
+    [F.spot]: r.spot,
+    [F.session]: r.session,
+    [F.seq]: r.seq,
+    [F.token]: r.token,
+    [F.noticeS]: r.noticeS,
+    [F.tasks]: r.tasks.map((t) => ({
+      [F.task]: taskName(t.job, t.index),
+      [F.attempt]: t.attempt,
+      [F.state]: TaskStates[t.state],
+      ...(t.cause ? { [F.cause]: Causes[t.cause] } : {}),
+      ...(t.saved ? { [F.saved]: true } : {}),
+    })),
+  });
+
+export type Command =
+  | { readonly op: 'start'; readonly job: JobId; readonly index: TaskIndex; readonly attempt: Attempt }
+  | {
+      readonly op: 'stop';
+      readonly job: JobId;
+      readonly index: TaskIndex;
+      readonly attempt: Attempt;
+      readonly graceS: number;
+    }
+  | { readonly op: 'forget'; readonly job: JobId; readonly index: TaskIndex; readonly attempt: Attempt };
+
+const wireCommand = (c: Command): Record<string, unknown> => ({
+  [F.op]: Ops[c.op],
+  [F.task]: taskName(c.job, c.index),
+  [F.attempt]: c.attempt,
+  ...(c.op === 'stop' ? { [F.graceS]: c.graceS } : {}),
+});
+
+export const encodeCommands = (token: Term, commands: readonly Command[], session?: Session): Uint8Array =>
+  encode({
+    [F.token]: token,
+    ...(session === undefined ? {} : { [F.session]: session }),
+    [F.commands]: commands.map(wireCommand),
+  });
+
+const ops = invert(Ops);
+
+/** What a worker reads from an answer; the stand-in worker of the tests speaks through this. */
+export const commandsSchema = z
+  .object({
+    [F.token]: u64,
+    [F.session]: u64.optional(),
+    [F.commands]: z.array(
+      z.object({ [F.op]: z.string(), [F.task]: z.string(), [F.attempt]: u64, [F.graceS]: amount.optional() }),
+    ),
+  })
+  .transform((w) => {
+    const commands: Command[] = [];
+    for (const c of w[F.commands]) {
+      const name = parseTaskName(c[F.task]);
+      const op = ops.get(c[F.op]);
+      if (!name || !op) continue;
+      const base = { ...name, attempt: c[F.attempt] as Attempt };
+      commands.push(op === 'stop' ? { op, ...base, graceS: c[F.graceS] ?? 0 } : { op, ...base });
+    }
+    const session = w[F.session] as Session | undefined;
+    return { token: w[F.token] as Term, ...(session === undefined ? {} : { session }), commands };
+  });
+
+export const encodeRedirect = (holder: MemberName | undefined): Uint8Array =>
+  encode(holder === undefined ? {} : { [F.reportTo]: holder });
+
+export const redirectSchema = z
+  .object({ [F.reportTo]: z.string().nullish() })
+  .transform((w) => w[F.reportTo] ?? undefined);
--- /dev/null
+++ b/src/transport/clock.ts
@@ -0,0 +1,33 @@
+/**
+ * Time is injected. `now` is the steady clock: it never jumps, but runs up to DRIFT fast or slow of true
+ * time. `wall` is the time of day, right only within the settings' bound; it is never used for safety.
+ */
+export type SteadyMs = number & { readonly __brand: 'SteadyMs' };
+export type WallMs = number & { readonly __brand: 'WallMs' };
+
+/** Steady clocks drift apart by as much as 0.05 %; two of them by twice that. */
+export const DRIFT = 0.001;
+
+export interface Timer {
+  cancel(): void;
+}
+
+export interface Clock {
+  now(): SteadyMs;
+  wall(): WallMs;
+  after(ms: number, run: () => void): Timer;
+}
+
+export const systemClock: Clock = {
+  now: () => performance.now() as SteadyMs,
+  wall: () => Date.now() as WallMs,
+  after(ms, run) {
+    const handle = setTimeout(run, ms);
+    return { cancel: () => clearTimeout(handle) };
+  },
+};
+
+export const plus = (t: SteadyMs, ms: number): SteadyMs => (t + ms) as SteadyMs;
+
+export const sleep = (clock: Clock, ms: number): Promise<void> =>
+  new Promise((resolve) => clock.after(ms, resolve));
--- /dev/null
+++ b/src/transport/http-client.ts
@@ -0,0 +1,79 @@
+import { Agent, request } from 'node:http';
+import { err, ok, type Result } from './result.js';
+import type { CallFailure, HttpClient, Reply } from './http.js';
+
+/**
+ * Keep-alive connections with a deadline on every call. A call that misses its deadline loses its
+ * connection too: a held connection would otherwise swallow the calls behind it.
+ */
+export function netHttpClient(maxSockets: number, contentType: string): HttpClient {
+  const agent = new Agent({ keepAlive: true, maxSockets, maxFreeSockets: 16, scheduling: 'fifo' });
+  const attempt = (
+    address: string,
+    method: string,
+    path: string,
+    body: Uint8Array | undefined,
+    deadlineMs: number,
+  ): Promise<Result<Reply, CallFailure> & { reused?: boolean }> =>
+    new Promise((resolve) => {
+      const colon = address.lastIndexOf(':');
+      let connected = false;
+      let settled = false;
+      const headers: Record<string, string> = { connection: 'keep-alive' };
+      if (body) {
+        headers['content-type'] = contentType;
+        headers['content-length'] = String(body.length);
+      }
+      const req = request({
+        agent,
+        host: address.slice(0, colon),
+        port: Number(address.slice(colon + 1)),
+        method,
+        path,
+        headers,
+      });
+      const finish = (result: Result<Reply, CallFailure>): void => {
+        if (settled) return;
+        settled = true;
+        clearTimeout(timer);
+        resolve(Object.assign(result, { reused: req.reusedSocket }));
+      };
+      const fail = (why: string): void =>
+        finish(err({ kind: connected || req.reusedSocket ? 'unknown' : 'refused', why }));
+      const timer = setTimeout(() => {
+        fail('deadline');
+        req.destroy();
+      }, deadlineMs);
+      req.on('socket', (socket) => {
+        socket.setNoDelay(true);
+        if (!socket.connecting) connected = true;
+        else socket.once('connect', () => (connected = true));
+      });
+      req.on('error', (e) => fail(e.message));
+      req.on('response', (res) => {
+        const chunks: Uint8Array[] = [];
+        res.on('data', (c: Uint8Array) => chunks.push(c));
+        res.on('end', () =>
+          finish(
+            ok({
+              status: res.statusCode ?? 0,
+              body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
+            }),
+          ),
+        );
+        res.on('error', (e) => fail(e.message));
+        res.on('aborted', () => fail('aborted'));
+      });
+      req.end(body);
+    });
+  return {
+    async call(address, method, path, body, deadlineMs) {
+      const first = await attempt(address, method, path, body, deadlineMs);
+      // A kept connection that the other side closed while idle: reads can safely go again at once.
+      if (!first.ok && first.reused === true && method === 'GET' && first.error.why !== 'deadline') {
+        return attempt(address, method, path, body, deadlineMs);
+      }
+      return first;
+    },
+  };
+}
--- /dev/null
+++ b/src/transport/random.ts
@@ -0,0 +1,15 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** Randomness is injected; it only spreads retries, and decides nothing that safety rests on. */
+export interface Random {
+  /** A number in [0, 1). */
+  next(): number;
+}
+
+export function seededRandom(seed: number): Random {
+  const generator = xoroshiro128plus(seed | 0);
+  return { next: () => (generator.next() >>> 0) / 0x1_0000_0000 };
+}
+
+/** A pause between half of `ms` and one and a half of it. */
+export const jitter = (random: Random, ms: number): number => ms * (0.5 + random.next());
