--- /dev/null
+++ b/test/standin/net.ts
@@ -0,0 +1,99 @@
+import type { CallFailure, HttpClient, Reply } from '../../src/transport/http.js';
+import type { Frame, Mesh } from '../../src/transport/mesh.js';
+import type { Random } from '../../src/transport/random.js';
+import { err, type Result } from '../../src/transport/result.js';
+import type { World } from './clock.js';
+
+export type Server = (from: string, method: string, path: string, body: Uint8Array) => Promise<Reply> | Reply;
+
+/** How a cut link treats what is sent: lost, kept and delivered late, or refused at once. */
+export type CutMode = 'drop' | 'hold' | 'reset';
+
+interface Cut {
+  readonly a: string;
+  readonly b: string;
+  readonly mode: CutMode;
+  readonly held: (() => void)[];
+}
+
+/** The network between named hosts. Addresses are `host:port`; only the host decides what is cut. */
+export class Net {
+  private readonly servers = new Map<string, Server>();
+  private readonly meshes = new Map<string, (frame: Frame) => void>();
+  private cuts: Cut[] = [];
+
+  constructor(
+    private readonly world: World,
+    private readonly random: Random,
+  ) {}
+
+  serve(address: string, server: Server | undefined): void {
+    if (server) this.servers.set(address, server);
+    else this.servers.delete(address);
+  }
+
+  cut(a: string, b: string, mode: CutMode): void {
+    this.cuts.push({ a, b, mode, held: [] });
+  }
+
+  heal(a: string, b: string): void {
+    const ended = this.cuts.filter((c) => c.a === a && c.b === b);
+    this.cuts = this.cuts.filter((c) => !(c.a === a && c.b === b));
+    for (const c of ended) for (const deliver of c.held) this.world.after(1, deliver);
+  }
+
+  private cutBetween(a: string, b: string): Cut | undefined {
+    const is = (pattern: string, host: string): boolean => pattern === '*' || pattern === host;
+    return this.cuts.find((c) => (is(c.a, a) && is(c.b, b)) || (is(c.a, b) && is(c.b, a)));
+  }
+
+  /** Runs `deliver` at the far end, if the message gets there. */
+  private carry(from: string, to: string, deliver: () => void): 'sent' | 'reset' {
+    const cut = this.cutBetween(from, to);
+    if (cut) {
+      if (cut.mode === 'hold') cut.held.push(deliver);
+      return cut.mode === 'reset' ? 'reset' : 'sent';
+    }
+    this.world.after(0.5 + this.random.next() * 3, deliver);
+    return 'sent';
+  }
+
+  client(from: string, alive: () => boolean): HttpClient {
+    return {
+      call: (address, method, path, body, deadlineMs) =>
+        new Promise<Result<Reply, CallFailure>>((resolve) => {
+          const to = hostOf(address);
+          let over = false;
+          const finish = (r: Result<Reply, CallFailure>): void => {
+            if (over) return;
+            over = true;
+            timer.cancel();
+            if (alive()) resolve(r);
+          };
+          const timer = this.world.after(deadlineMs, () => finish(err({ kind: 'unknown', why: 'deadline' })));
+          const sent = this.carry(from, to, () => {
+            const server = this.servers.get(address);
+            if (!server) return finish(err({ kind: 'refused', why: 'refused' }));
+            void Promise.resolve(server(from, method, path, body ?? new Uint8Array())).then((reply) => {
+              this.carry(to, from, () => finish({ ok: true, value: reply }));
+            });
+          });
+          if (sent === 'reset') this.world.after(1, () => finish(err({ kind: 'unknown', why: 'reset' })));
+        }),
+    };
+  }
+
+  mesh(self: string): Mesh {
+    return {
+      send: (peer, frame) => void this.carry(self, peer, () => this.meshes.get(peer)?.(frame)),
+      onFrame: (listen) => void this.meshes.set(self, listen),
+      onRefused: () => undefined,
+    };
+  }
+
+  dropMesh(self: string): void {
+    this.meshes.delete(self);
+  }
+}
+
+export const hostOf = (address: string): string => address.slice(0, address.lastIndexOf(':'));
--- /dev/null
+++ b/test/standin/store.ts
@@ -0,0 +1,221 @@
+import { decode, encode } from '../../src/protocol/codec.js';
+import { F, Paths } from '../../src/protocol/wire.js';
+import type { Reply } from '../../src/transport/http.js';
+import type { World } from './clock.js';
+
+interface Kept {
+  value: unknown;
+  mark: number;
+  lease: number | undefined;
+}
+
+export type TxnFault = 'crash-before' | 'crash-after' | 'lose-reply' | { readonly holdS: number };
+
+/** What to do with the nth transaction that puts or removes a key under a prefix. */
+export interface TxnHook {
+  readonly prefix: string;
+  nth: number;
+  readonly fault: TxnFault;
+}
+
+type WireMap = Record<string, unknown>;
+
+const never = (): Promise<Reply> => new Promise(() => undefined);
+const reply = (status: number, body: unknown): Reply => ({ status, body: encode(body) });
+
+/** The state service, as its protocol says it behaves. */
+export class StandInStore {
+  readonly keys = new Map<string, Kept>();
+  private readonly leases = new Map<number, { until: number; ttl: number }>();
+  private revision = 0;
+  private nextLease = 1;
+  private readonly log: { key: string; value?: unknown; mark: number; removed: boolean }[] = [];
+  private waiting: (() => void)[] = [];
+  private requestTokens: number;
+  private writeTokens: number;
+  private refilled = 0;
+  outage = false;
+  readonly refused = new Set<string>();
+  readonly hooks: TxnHook[] = [];
+  onCrash: (host: string) => void = () => undefined;
+  requests = 0;
+  writes = 0;
+  throttled = 0;
+
+  constructor(
+    private readonly world: World,
+    private readonly limits: { rps: number; writeRps: number; txnOps: number; valueKb: number },
+  ) {
+    this.requestTokens = limits.rps;
+    this.writeTokens = limits.writeRps;
+    const expire = (): void => {
+      for (const [id, lease] of this.leases) if (!this.outage && lease.until < world.now) this.endLease(id);
+      world.after(50, expire);
+    };
+    expire();
+  }
+
+  setOutage(on: boolean): void {
+    this.outage = on;
+    if (!on) {
+      for (const lease of this.leases.values()) lease.until = this.world.now + lease.ttl;
+      this.notify();
+    }
+  }
+
+  private endLease(id: number): void {
+    this.leases.delete(id);
+    const keys = [...this.keys].filter(([, k]) => k.lease === id).map(([key]) => key);
+    if (keys.length === 0) return;
+    this.revision++;
+    for (const key of keys) this.remove(key);
+    this.notify();
+  }
+
+  private remove(key: string): void {
+    if (this.keys.delete(key)) this.log.push({ key, mark: this.revision, removed: true });
+  }
+
+  private notify(): void {
+    const waiting = this.waiting;
+    this.waiting = [];
+    for (const wake of waiting) wake();
+  }
+
+  private takeTokens(writes: number): boolean {
+    const dt = (this.world.now - this.refilled) / 1000;
+    this.refilled = this.world.now;
+    this.requestTokens = Math.min(this.limits.rps, this.requestTokens + dt * this.limits.rps);
+    this.writeTokens = Math.min(this.limits.writeRps, this.writeTokens + dt * this.limits.writeRps);
+    if (this.requestTokens < 1 || this.writeTokens < writes) {
+      this.throttled++;
+      return false;
+    }
+    this.requestTokens--;
+    this.writeTokens -= writes;
+    return true;
+  }
+
+  async handle(from: string, method: string, path: string, body: Uint8Array): Promise<Reply> {
+    this.requests++;
+    if (this.outage || this.refused.has(from)) return reply(503, {});
+    const [route, query] = path.split('?') as [string, string | undefined];
+    const q = new URLSearchParams(query ?? '');
+    const data = body.length > 0 ? decode(body) : undefined;
+    const map = (data?.ok ? data.value : {}) as WireMap;
+    const changes = (map[F.then] ?? []) as WireMap[];
+    if (!this.takeTokens(changes.length)) return reply(429, {});
+    if (route === Paths.txn) return this.txnWithHooks(from, map, changes);
+    if (route === Paths.leases) {
+      const id = this.nextLease++;
+      const ttl = Number(map[F.ttlMs]);
+      this.leases.set(id, { until: this.world.now + ttl, ttl });
+      return reply(200, { [F.lease]: id });
+    }
+    if (route.startsWith(`${Paths.leases}/`)) return this.lease(method, route);
+    if (route === Paths.changes) {
+      return this.watch(q.get(F.prefix) ?? '', Number(q.get(F.after)), Number(q.get(F.waitMs) ?? 0), from);
+    }
+    if (route === Paths.keys) return this.range(q);
+    const key = route.slice(Paths.keys.length + 1);
+    const kept = this.keys.get(key);
+    if (!kept) return reply(404, { [F.revision]: this.revision });
+    return reply(200, { [F.key]: key, [F.value]: kept.value, [F.mark]: kept.mark });
+  }
+
+  private lease(method: string, route: string): Reply {
+    const id = Number(route.slice(Paths.leases.length + 1).replace(Paths.renewEnd, ''));
+    const lease = this.leases.get(id);
+    if (!lease) return reply(404, {});
+    if (method === 'DELETE') this.endLease(id);
+    else lease.until = this.world.now + lease.ttl;
+    return reply(200, {});
+  }
+
+  private range(q: URLSearchParams): Reply {
+    const prefix = q.get(F.prefix) ?? '';
+    const after = q.get(F.after) ?? '';
+    const limit = Math.min(1000, Number(q.get(F.limit) ?? 1000));
+    const keys = [...this.keys.keys()].filter((k) => k.startsWith(prefix) && k > after).sort();
+    return reply(200, {
+      [F.items]: keys.slice(0, limit).map((key) => {
+        const kept = this.keys.get(key)!;
+        return { [F.key]: key, [F.value]: kept.value, [F.mark]: kept.mark };
+      }),
+      [F.more]: keys.length > limit,
+      [F.revision]: this.revision,
+    });
+  }
+
+  private async watch(prefix: string, since: number, waitMs: number, from: string): Promise<Reply> {
+    const until = this.world.now + waitMs;
+    for (;;) {
+      const blocked = this.outage || this.refused.has(from);
+      const events = blocked ? [] : this.log.filter((e) => e.mark > since && e.key.startsWith(prefix));
+      if (events.length > 0 || (this.world.now >= until && !blocked)) {
+        return reply(200, {
+          [F.revision]: this.revision,
+          [F.events]: events.map((e) =>
+            e.removed
+              ? { [F.delete]: e.key, [F.mark]: e.mark }
+              : { [F.put]: e.key, [F.value]: e.value, [F.mark]: e.mark },
+          ),
+        });
+      }
+      await new Promise<void>((resolve) => {
+        this.waiting.push(resolve);
+        this.world.after(Math.max(10, until - this.world.now), resolve);
+      });
+    }
+  }
+
+  private txnWithHooks(from: string, map: WireMap, changes: WireMap[]): Reply | Promise<Reply> {
+    const touches = (p: string): boolean =>
+      changes.some((c) => String(c[F.put] ?? c[F.delete] ?? '').startsWith(p));
+    const hook = this.hooks.find((h) => touches(h.prefix) && --h.nth === 0);
+    if (!hook) return this.txn(map, changes);
+    if (hook.fault === 'crash-before') {
+      this.onCrash(from);
+      return never();
+    }
+    if (hook.fault === 'crash-after') {
+      this.txn(map, changes);
+      this.onCrash(from);
+      return never();
+    }
+    if (hook.fault === 'lose-reply') {
+      this.txn(map, changes);
+      return never();
+    }
+    this.world.after(hook.fault.holdS * 1000, () => this.txn(map, changes));
+    return never();
+  }
+
+  private txn(map: WireMap, changes: WireMap[]): Reply {
+    const conditions = (map[F.if] ?? []) as WireMap[];
+    if (changes.length > this.limits.txnOps || conditions.length > 4 * this.limits.txnOps) return reply(400, {});
+    for (const c of changes) {
+      if (c[F.lease] !== undefined && !this.leases.has(Number(c[F.lease]))) {
+        return reply(400, { [F.error]: 'no such lease' });
+      }
+      if (JSON.stringify(c[F.value] ?? null).length > this.limits.valueKb * 1024) return reply(400, {});
+    }
+    const failed = conditions
+      .filter((c) => (this.keys.get(String(c[F.key]))?.mark ?? 0) !== Number(c[F.mark]))
+      .map((c) => c[F.key]);
+    if (failed.length > 0) return reply(409, { [F.failed]: failed, [F.revision]: this.revision });
+    if (changes.length > 0) this.revision++;
+    this.writes += changes.length;
+    for (const c of changes) {
+      if (c[F.delete] !== undefined) this.remove(String(c[F.delete]));
+      else {
+        const key = String(c[F.put]);
+        const lease = c[F.lease] === undefined ? undefined : Number(c[F.lease]);
+        this.keys.set(key, { value: c[F.value], mark: this.revision, lease });
+        this.log.push({ key, value: c[F.value], mark: this.revision, removed: false });
+      }
+    }
+    this.notify();
+    return reply(200, { [F.revision]: this.revision });
+  }
+}
