--- /dev/null
+++ b/test/parts.test.ts
@@ -0,0 +1,270 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { Budget, Rank } from '../src/transport/budget.js';
+import {
+  DoneSet,
+  checksum,
+  indicesOf,
+  planSchema,
+  rangesOf,
+  seal,
+  unseal,
+} from '../src/bookkeeping/records.js';
+import { World as Book, type Job, type Machine } from '../src/bookkeeping/world.js';
+import { planRound, type Snapshot } from '../src/coordination/planner.js';
+import { decode, decodeAs, encode } from '../src/protocol/codec.js';
+import type {
+  ImageName,
+  JobId,
+  MachineId,
+  Mark,
+  TeamName,
+  Term,
+  TypeName,
+  ZoneName,
+} from '../src/protocol/ids.js';
+import { encodeSubmission, submission, type JobSpec } from '../src/protocol/jobs.js';
+import { parseOperator } from '../src/protocol/operator.js';
+import { F } from '../src/protocol/wire.js';
+import { parseSettings } from '../src/protocol/settings.js';
+import type { SteadyMs } from '../src/transport/clock.js';
+import { ProcessClock, World } from './standin/clock.js';
+import { machineType, team } from './standin/universe.js';
+
+const SEED = { seed: 20260, numRuns: 200 };
+const u64 = fc.bigInt({ min: 0n, max: 2n ** 64n - 1n });
+
+const spec: fc.Arbitrary<JobSpec> = fc.record({
+  id: fc.integer({ min: 0, max: 999_999 }).map((n) => `req-${String(n).padStart(6, '0')}` as JobId),
+  class: fc.constantFrom('serve', 'train'),
+  team: fc.constantFrom('red', 'blue').map((t) => t as TeamName),
+  kind: fc.constantFrom('array', 'gang', 'service'),
+  priority: fc.constantFrom('production', 'high', 'normal', 'low'),
+  tasks: fc.integer({ min: 1, max: 12 }),
+  cpus: fc.constantFrom(0.5, 1, 4),
+  gpus: fc.constantFrom(0, 1, 2),
+  memoryGb: fc.constantFrom(1, 16),
+  image: fc.constantFrom('i1', 'i2').map((i) => i as ImageName),
+  imageGb: fc.constant(2),
+  types: fc.constantFrom(null, ['big'], ['small', 'big']).map((t) => t as TypeName[] | null),
+  zone: fc.constantFrom(null, 'a', 'b').map((z) => z as ZoneName | null),
+  oneZone: fc.boolean(),
+  spread: fc.boolean(),
+  spot: fc.boolean(),
+  estimateS: fc.constant(10),
+  checkpointS: fc.constantFrom(0, 5),
+  saveS: fc.constant(1),
+  deadlineS: fc.constantFrom(null, 60),
+});
+
+test('integers up to 2^64 and any record survive the codec', () => {
+  fc.assert(
+    fc.property(u64, fc.jsonValue(), (n, v) => {
+      const back = decode(encode({ n, v }));
+      assert.ok(back.ok);
+      assert.equal(BigInt((back.value as { n: number | bigint }).n), n);
+      assert.equal(checksum((back.value as { v: unknown }).v), checksum(v));
+    }),
+    SEED,
+  );
+});
+
+test('a submission survives the wire, and every missing field is named', () => {
+  fc.assert(
+    fc.property(spec, (s) => {
+      const back = decodeAs(submission, encodeSubmission(s));
+      assert.ok(back.ok);
+      assert.deepEqual({ ...back.value }, { ...s });
+    }),
+    SEED,
+  );
+  const whole = decode(encodeSubmission(fc.sample(spec, { seed: 1, numRuns: 1 })[0]!));
+  assert.ok(whole.ok);
+  const map = whole.value as Record<string, unknown>;
+  for (const field of Object.keys(map)) {
+    const { [field]: value, ...rest } = map;
+    const parsed = decodeAs(submission, encode(rest));
+    if (value === null || ([F.types, F.zone, F.deadlineS] as string[]).includes(field)) continue;
+    assert.ok(!parsed.ok && parsed.error.startsWith(field), field);
+  }
+});
+
+test('task ranges and finish records hold exactly what was put in', () => {
+  fc.assert(
+    fc.property(fc.uniqueArray(fc.integer({ min: 0, max: 9999 })), (indices) => {
+      assert.deepEqual(
+        indicesOf(rangesOf(indices)),
+        [...indices].sort((a, b) => a - b),
+      );
+      const done = new DoneSet(10_000);
+      for (const chunk of [0, 1, 2]) {
+        const mine = indices.filter((i) => Math.floor(i / 4096) === chunk);
+        done.load(chunk, done.chunkWith(chunk, mine).bits);
+      }
+      assert.equal(done.count, indices.length);
+      for (const i of indices) assert.ok(done.has(i));
+    }),
+    SEED,
+  );
+});
+
+test('a plan with any changed figure is not read', () => {
+  const plan = { id: 'p', term: 3n, jobs: [{ job: 'req-000001', attempt: 1n, on: [] }] };
+  const sealed = seal(plan);
+  assert.ok(unseal(planSchema, sealed).ok);
+  assert.ok(!unseal(planSchema, { ...sealed, body: { ...plan, term: 4n } }).ok);
+  assert.ok(!unseal(planSchema, { ...sealed, v: 2 }).ok);
+});
+
+test('operators settings: positions of faults, defaults, ranges', () => {
+  const good = parseOperator('(round-ms 50) ; comment\n(store-lease-ms 3000)');
+  assert.ok(good.ok && good.value.roundMs === 50 && good.value.storeLeaseMs === 3000);
+  const bad = parseOperator('(round-ms 50)\n  (no-such 1)\n(round-tasks 0)');
+  assert.ok(!bad.ok);
+  assert.match(bad.error[0]!, /line 2, column 3: unknown setting 'no-such'/);
+  assert.match(bad.error[1]!, /line 3.*from 1 to/);
+});
+
+test('settings: every fault is told with its path', () => {
+  const bad = parseSettings('member = "n0"\n[services]\ncloud = "x"');
+  assert.ok(!bad.ok);
+  assert.ok(bad.error.length > 3);
+  assert.ok(bad.error.some((f) => f.startsWith('services.cloud: must be host:port')));
+});
+
+test('rounds leave room in the budget; users never wait', async () => {
+  const world = new World();
+  const clock = new ProcessClock(world, 1, 0);
+  const budget = new Budget(clock, 10, {
+    [Rank.Lease]: 0,
+    [Rank.User]: 0,
+    [Rank.Finish]: 0.2,
+    [Rank.Round]: 0.5,
+  });
+  let rounds = 0;
+  for (let i = 0; i < 20; i++) void budget.take(1, Rank.Round, 1e6).then((ok) => (rounds += ok ? 1 : 0));
+  await world.runUntil(1, () => undefined);
+  assert.equal(rounds, 5);
+  let finish = 0;
+  for (let i = 0; i < 3; i++) void budget.take(1, Rank.Finish, 1e6).then((ok) => (finish += ok ? 1 : 0));
+  await world.runUntil(2, () => undefined);
+  assert.equal(finish, 3);
+  await world.runUntil(3000, () => undefined);
+  assert.equal(rounds, 20);
+});
+
+// ---- the planner on random worlds -------------------------------------------------------------------
+
+interface Scene {
+  readonly specs: readonly JobSpec[];
+  readonly machines: readonly { type: 'small' | 'big'; zone: 'a' | 'b' | 'c'; spot: boolean }[];
+}
+
+const scene: fc.Arbitrary<Scene> = fc.record({
+  specs: fc.uniqueArray(spec, { maxLength: 8, selector: (s) => s.id }),
+  machines: fc.array(
+    fc.record({
+      type: fc.constantFrom('small' as const, 'big' as const),
+      zone: fc.constantFrom('a' as const, 'b' as const, 'c' as const),
+      spot: fc.boolean(),
+    }),
+    { maxLength: 6 },
+  ),
+});
+
+const zones = ['a', 'b', 'c'];
+const types = new Map(
+  [
+    machineType('small', zones, { cpus: 8, gpus: 2, memoryGb: 32 }),
+    machineType('big', zones, { cpus: 32, gpus: 4, memoryGb: 128 }),
+  ].map((t) => [t.name, t]),
+);
+const teams = new Map([team('red', 4, 6), team('blue', 0, 5)].map((t) => [t.name, t]));
+
+function build(s: Scene): { snapshot: Snapshot; jobs: Job[]; machines: Machine[] } {
+  const now = 10_000 as SteadyMs;
+  const world = new Book(1n as Term);
+  const jobs = s.specs.map((sp, i) =>
+    world.addJob(
+      {
+        spec: sp,
+        state: 'queued',
+        generation: 0,
+        term: 0n as Term,
+        attempt: 0,
+        done: 0,
+        acceptedAt: i as never,
+        cancelledAt: null,
+      },
+      1n as Mark,
+      0 as SteadyMs,
+      undefined,
+    ),
+  );
+  const machines = s.machines.map((m, i) => {
+    const machine = world.addMachine(
+      `m-${i}` as MachineId,
+      m.type as TypeName,
+      m.zone as ZoneName,
+      m.spot,
+      now,
+      now,
+    );
+    machine.state = 'up';
+    machine.trusted = true;
+    machine.lastReport = now;
+    return machine;
+  });
+  const snapshot: Snapshot = {
+    now,
+    world,
+    types,
+    teams,
+    staleMs: 5000,
+    maxTasks: 100,
+    maxJobs: 10,
+    preemptAfterMs: 0,
+  };
+  return { snapshot, jobs, machines };
+}
+
+test('planned tasks fit, keep zones, kinds and limits, and gangs come whole; the plan is a function', () => {
+  fc.assert(
+    fc.property(scene, (s) => {
+      const { snapshot, jobs } = build(s);
+      const plan = planRound(snapshot);
+      assert.deepEqual(
+        plan.tasks.map((t) => [t.job.id, t.index, t.machine.id]),
+        planRound(build(s).snapshot).tasks.map((t) => [t.job.id, t.index, t.machine.id]),
+      );
+      const room = new Map<Machine, [number, number, number]>();
+      const gpus = new Map<string, number>();
+      for (const { job, machine } of plan.tasks) {
+        const r = room.get(machine) ?? [0, 0, 0];
+        r[0] += job.spec.cpus;
+        r[1] += job.spec.gpus;
+        r[2] += job.spec.memoryGb;
+        room.set(machine, r);
+        const type = types.get(machine.type)!;
+        assert.ok(r[0] <= type.cpus && r[1] <= type.gpus && r[2] <= type.memoryGb, 'room');
+        gpus.set(job.spec.team, (gpus.get(job.spec.team) ?? 0) + job.spec.gpus);
+        assert.ok(!machine.spot || job.spec.spot, 'spot');
+        assert.ok(job.spec.types === null || job.spec.types.includes(machine.type), 'type');
+        assert.ok(job.spec.zone === null || job.spec.zone === machine.zone, 'zone');
+      }
+      for (const [name, used] of gpus) assert.ok(used <= teams.get(name as TeamName)!.gpusMax, 'limit');
+      for (const job of jobs) {
+        const mine = plan.tasks.filter((t) => t.job === job);
+        assert.equal(new Set(mine.map((t) => t.index)).size, mine.length);
+        if (job.spec.kind === 'gang') assert.ok(mine.length === 0 || mine.length === job.spec.tasks, 'gang');
+        const perZone = new Map<string, number>();
+        for (const t of mine) perZone.set(t.machine.zone, (perZone.get(t.machine.zone) ?? 0) + 1);
+        if (job.spec.oneZone) assert.ok(perZone.size <= 1, 'one zone');
+        if (job.spec.spread)
+          for (const n of perZone.values()) assert.ok(n <= Math.ceil(mine.length / 2), 'spread');
+      }
+    }),
+    SEED,
+  );
+});
--- a/test/standin/clock.ts
+++ b/test/standin/clock.ts
@@ -57,7 +57,7 @@
     const last = h.pop()!;
     if (h.length === 0) return;
     h[0] = last;
-    for (let i = 0; ; ) {
+    for (let i = 0; ;) {
       const l = 2 * i + 1;
       const r = l + 1;
       let m = i;
--- /dev/null
+++ b/test/standin/rules.ts
@@ -0,0 +1,168 @@
+import type { JobSpec } from '../../src/protocol/jobs.js';
+import type { JobState } from '../../src/protocol/wire.js';
+import type { World } from './clock.js';
+
+export interface Place {
+  readonly machine: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
+interface OnMachine extends Place {
+  readonly job: string;
+  readonly index: number;
+}
+
+/** The protocol's rules, checked from what workers do and users hear; it knows nothing of controllers. */
+export class Rules {
+  readonly broken: string[] = [];
+  readonly jobs = new Map<string, JobSpec>();
+  private readonly on = new Map<string, OnMachine>();
+  private readonly accepted = new Set<string>();
+  private readonly doneTasks = new Map<string, Set<number>>();
+  private readonly told = new Map<string, 'done' | 'cancelled'>();
+  private readonly cancelAsked = new Set<string>();
+  private readonly cancelTold = new Map<string, number>();
+  starts = 0;
+
+  constructor(
+    private readonly world: World,
+    private readonly limits: ReadonlyMap<string, { cpusMax: number; gpusMax: number }>,
+    private readonly cancelS: number,
+  ) {}
+
+  private breach(rule: string, what: string): void {
+    const line = `${rule} at ${(this.world.now / 1000).toFixed(2)} s: ${what}`;
+    if (!this.broken.includes(line)) this.broken.push(line);
+  }
+
+  submitted(spec: JobSpec): void {
+    this.jobs.set(spec.id, spec);
+  }
+
+  started(job: string, index: number, place: Place): void {
+    this.starts++;
+    const spec = this.jobs.get(job);
+    const name = `${job}/${index}`;
+    if (!spec) return this.breach('wrong_place', `${name} has no job`);
+    const mine: OnMachine[] = [];
+    for (const o of this.on.values()) {
+      if (o.job !== job) continue;
+      if (o.index === index && o.machine !== place.machine) {
+        this.breach('ran_twice', `${name} on ${place.machine} while on ${o.machine}`);
+      }
+      if (o.index !== index) mine.push(o);
+    }
+    if (spec.types && !(spec.types as readonly string[]).includes(place.type))
+      this.breach('wrong_place', `${name} on type ${place.type}`);
+    if (spec.zone !== null && spec.zone !== place.zone)
+      this.breach('wrong_place', `${name} in zone ${place.zone}`);
+    if (place.spot && !spec.spot) this.breach('wrong_place', `${name} on a spot machine`);
+    if (spec.oneZone && mine.some((o) => o.zone !== place.zone))
+      this.breach('wrong_place', `${name} in a second zone`);
+    if (spec.spread) {
+      const here = mine.filter((o) => o.zone === place.zone).length + 1;
+      if (here > Math.ceil(spec.tasks / 2))
+        this.breach('wrong_place', `${name}: ${here} of ${spec.tasks} in ${place.zone}`);
+    }
+    const told = this.cancelTold.get(job);
+    if (told !== undefined && this.world.now - told > this.cancelS * 1000)
+      this.breach('ran_cancelled', `${name} started`);
+    this.on.set(`${name}@${place.machine}`, { job, index, ...place });
+    this.checkQuota(spec.team);
+  }
+
+  private checkQuota(team: string): void {
+    const limit = this.limits.get(team);
+    if (!limit) return;
+    let cpus = 0;
+    let gpus = 0;
+    for (const o of this.on.values()) {
+      const spec = this.jobs.get(o.job);
+      if (spec?.team !== team) continue;
+      cpus += spec.cpus;
+      gpus += spec.gpus;
+    }
+    if (
+      (limit.cpusMax > 0 && cpus > limit.cpusMax + 1e-6) ||
+      (limit.gpusMax > 0 && gpus > limit.gpusMax + 1e-6)
+    ) {
+      this.breach('quota', `${team} uses ${cpus} CPUs and ${gpus} GPUs`);
+    }
+  }
+
+  stopped(job: string, index: number, machine: string): void {
+    this.on.delete(`${job}/${index}@${machine}`);
+  }
+
+  completed(job: string, index: number): void {
+    const set = this.doneTasks.get(job) ?? new Set();
+    set.add(index);
+    this.doneTasks.set(job, set);
+  }
+
+  cancelAsking(job: string): void {
+    this.cancelAsked.add(job);
+  }
+
+  /** An answer of any node to a user; `repeat`: to a repeated submission. */
+  answered(
+    job: string,
+    status: number,
+    state: JobState | undefined,
+    what: 'submit' | 'poll' | 'cancel',
+  ): void {
+    const spec = this.jobs.get(job);
+    if ((status === 200 || status === 201) && !spec) this.breach('invented', job);
+    if (this.accepted.has(job)) {
+      if (what === 'poll' && status === 404) this.breach('forgotten', `${job} polled 404`);
+      if (what === 'submit' && (status === 400 || status === 422))
+        this.breach('forgotten', `${job} resubmitted ${status}`);
+    }
+    if (status !== 200 && status !== 201) return;
+    if (what === 'submit') this.accepted.add(job);
+    const before = this.told.get(job);
+    if (before && state !== before) this.breach('went_back', `${job} was ${before}, is ${state}`);
+    if (state === 'done') {
+      if ((this.doneTasks.get(job)?.size ?? 0) < (spec?.tasks ?? 0)) this.breach('not_done', job);
+      this.told.set(job, 'done');
+    }
+    if (state === 'cancelled') {
+      if (!this.cancelAsked.has(job)) this.breach('went_back', `${job} called cancelled, nobody asked`);
+      this.told.set(job, 'cancelled');
+      if (!this.cancelTold.has(job)) this.cancelTold.set(job, this.world.now);
+    }
+  }
+
+  /** After every step. */
+  check(): void {
+    if (this.cancelTold.size === 0) return;
+    for (const o of this.on.values()) {
+      const told = this.cancelTold.get(o.job);
+      if (told !== undefined && this.world.now - told > this.cancelS * 1000) {
+        this.breach('ran_cancelled', `${o.job}/${o.index} still on ${o.machine}`);
+      }
+    }
+  }
+
+  running(job: string): number {
+    return [...this.on.values()].filter((o) => o.job === job).length;
+  }
+
+  done(job: string): number {
+    return this.doneTasks.get(job)?.size ?? 0;
+  }
+
+  machinesOf(job: string): string[] {
+    return [...this.on.values()].filter((o) => o.job === job).map((o) => o.machine);
+  }
+
+  isAccepted(job: string): boolean {
+    return this.accepted.has(job);
+  }
+
+  stateTold(job: string): 'done' | 'cancelled' | undefined {
+    return this.told.get(job);
+  }
+}
--- /dev/null
+++ b/test/standin/scenario.ts
@@ -0,0 +1,305 @@
+import type { MachineType } from '../../src/protocol/cloud.js';
+import type { ImageName, JobId, TeamName, TypeName, ZoneName } from '../../src/protocol/ids.js';
+import type { JobSpec } from '../../src/protocol/jobs.js';
+import type { TeamLimits } from '../../src/protocol/settings.js';
+import type { CutMode } from './net.js';
+import type { TxnFault } from './store.js';
+import { machineType, team, Universe } from './universe.js';
+
+/**
+ * Scenario files, a line each:
+ *
+ *     zones a b          type g4 gpus=4 boot=5      machine g4 a [spot]     team red 4 8
+ *     set lease=10 cancel=25 report=1 capacity=3 nodes=3 seed=1
+ *     at 2 submit req-000001 red array tasks=4 run=5 [one_zone] [spread] [spot] [faulty] ...
+ *     at 5 crash holder 3           (or a node's name, `follower`, `all`)
+ *     at 5 cut holder store hold 20 (what: store cloud peers workers all; how: drop hold reset)
+ *     on plan/ 1 crash-after        (the nth transaction that touches the prefix)
+ *     expect req-000001 done by 30
+ */
+interface Expectation {
+  readonly words: readonly string[];
+  readonly line: string;
+}
+
+export interface Outcome {
+  readonly failures: string[];
+  readonly universe: Universe;
+}
+
+const options = (words: readonly string[]): Map<string, string> =>
+  new Map(words.map((w) => w.split('=') as [string, string | undefined]).map(([k, v]) => [k, v ?? 'yes']));
+
+const num = (o: Map<string, string>, key: string, fallback: number): number => Number(o.get(key) ?? fallback);
+
+function specOf(words: readonly string[]): { spec: JobSpec; runS: number; faulty: boolean } {
+  const [id, teamName, kind, ...rest] = words;
+  const o = options(rest);
+  const checkpointS = num(o, 'checkpoint', 0);
+  return {
+    runS: num(o, 'run', 5),
+    faulty: o.has('faulty'),
+    spec: {
+      id: id as JobId,
+      class: kind!,
+      team: teamName as TeamName,
+      kind: kind as JobSpec['kind'],
+      priority: (o.get('priority') ?? 'normal') as JobSpec['priority'],
+      tasks: num(o, 'tasks', 1),
+      cpus: num(o, 'cpus', 1),
+      gpus: num(o, 'gpus', 1),
+      memoryGb: num(o, 'mem', 1),
+      image: (o.get('image') ?? 'img-1') as ImageName,
+      imageGb: num(o, 'gb', 1),
+      types: (o.get('types')?.split(',') as TypeName[] | undefined) ?? null,
+      zone: (o.get('zone') as ZoneName | undefined) ?? null,
+      oneZone: o.has('one_zone'),
+      spread: o.has('spread'),
+      spot: o.has('spot'),
+      estimateS: num(o, 'run', 5),
+      checkpointS,
+      saveS: checkpointS > 0 ? 1 : 0,
+      deadlineS: null,
+    },
+  };
+}
+
+interface Parsed {
+  zones: string[];
+  types: string[][];
+  machines: string[][];
+  teams: TeamLimits[];
+  set: Map<string, string>;
+  acts: { at: number; words: string[] }[];
+  hooks: string[][];
+  expects: Expectation[];
+  until: number;
+}
+
+function parseScenario(text: string): Parsed {
+  const p: Parsed = {
+    zones: ['a', 'b', 'c'],
+    types: [],
+    machines: [],
+    teams: [],
+    set: new Map(),
+    acts: [],
+    hooks: [],
+    expects: [],
+    until: 60,
+  };
+  for (const raw of text.split('\n')) {
+    const line = raw.replace(/#.*/, '').trim();
+    if (line === '') continue;
+    const [verb, ...words] = line.split(/\s+/) as [string, ...string[]];
+    if (verb === 'zones') p.zones = words;
+    else if (verb === 'type') p.types.push(words);
+    else if (verb === 'machine') p.machines.push(words);
+    else if (verb === 'team') p.teams.push(team(words[0]!, Number(words[1]), Number(words[2])));
+    else if (verb === 'set') for (const [k, v] of options(words)) p.set.set(k, v);
+    else if (verb === 'at') p.acts.push({ at: Number(words[0]), words: words.slice(1) });
+    else if (verb === 'on') p.hooks.push(words);
+    else if (verb === 'expect') p.expects.push({ words, line });
+    else if (verb === 'until') p.until = Number(words[0]);
+    else throw new Error(`scenario: unknown line '${line}'`);
+  }
+  return p;
+}
+
+const fault = (words: readonly string[]): TxnFault =>
+  words[0] === 'hold' ? { holdS: Number(words[1]) } : (words[0] as Exclude<TxnFault, object>);
+
+function nodesNamed(u: Universe, who: string): string[] {
+  const holder = u.holder();
+  if (who === 'all') return u.nodes.map((n) => n.member);
+  if (who === 'holder') return holder === undefined ? [] : [holder];
+  if (who === 'follower')
+    return u.nodes
+      .map((n) => n.member)
+      .filter((m) => m !== holder)
+      .slice(0, 1);
+  return [who];
+}
+
+function farEnds(u: Universe, what: string, self: string): string[] {
+  if (what === 'store' || what === 'cloud') return [what];
+  if (what === 'peers') return u.nodes.map((n) => n.member).filter((m) => m !== self);
+  if (what === 'workers') return u.cloud.live().map((m) => m.id);
+  return ['*'];
+}
+
+function machineFor(u: Universe, name: string): string[] {
+  return name.startsWith('req-') ? u.rules.machinesOf(name).slice(0, 1) : [name];
+}
+
+function act(u: Universe, words: readonly string[]): void {
+  const [verb, ...w] = words as [string, ...string[]];
+  const later = (s: string | undefined, run: () => void): void =>
+    void u.world.after(Number(s ?? 10) * 1000, run);
+  switch (verb) {
+    case 'submit': {
+      const { spec, runS, faulty } = specOf(w);
+      void u.submit(spec, runS, faulty);
+      return;
+    }
+    case 'cancel':
+      return void u.cancel(w[0]!);
+    case 'poll':
+      return void u.pollOnce(w[0]!);
+    case 'crash':
+      for (const n of nodesNamed(u, w[0]!)) u.crash(n, Number(w[1] ?? 3) * 1000);
+      return;
+    case 'roll':
+      u.nodes.forEach((n, i) => u.world.after(i * Number(w[0]) * 1000, () => u.crash(n.member, 2000)));
+      return;
+    case 'cut':
+      for (const n of nodesNamed(u, w[0]!)) {
+        for (const end of farEnds(u, w[1]!, n)) {
+          u.net.cut(n, end, w[2] as CutMode);
+          later(w[3], () => u.net.heal(n, end));
+        }
+      }
+      return;
+    case 'isolate':
+      for (const m of machineFor(u, w[0]!)) {
+        u.net.cut(m, '*', w[1] as CutMode);
+        later(w[2], () => u.net.heal(m, '*'));
+      }
+      return;
+    case 'refuse':
+      for (const n of nodesNamed(u, w[0]!)) {
+        u.store.refused.add(n);
+        later(w[1], () => u.store.refused.delete(n));
+      }
+      return;
+    case 'outage':
+      if (w[0] === 'store') {
+        u.store.setOutage(true);
+        later(w[1], () => u.store.setOutage(false));
+      } else {
+        u.cloud.outage = true;
+        later(w[1], () => (u.cloud.outage = false));
+      }
+      return;
+    case 'hang':
+      for (const m of machineFor(u, w[0]!)) {
+        const worker = u.cloud.machines.get(m)?.worker;
+        if (!worker) continue;
+        worker.hanging = true;
+        later(w[1], () => (worker.hanging = false));
+      }
+      return;
+    case 'take': // A spot machine goes, or any machine dies without a word.
+      for (const m of machineFor(u, w[0]!)) u.cloud.end(m, 20_000);
+      return;
+    case 'fail':
+      for (const m of machineFor(u, w[0]!)) u.cloud.fail(m);
+      return;
+    case 'notice':
+      for (const m of machineFor(u, w[0]!)) {
+        const worker = u.cloud.machines.get(m)?.worker;
+        if (worker) worker.noticeUntil = u.world.now + Number(w[1]) * 1000;
+        later(w[1], () => u.cloud.end(m));
+      }
+      return;
+    case 'refuse-starts':
+      for (const m of u.cloud.live()) if (m.worker) m.worker.refuseStarts = Number(w[0]);
+      return;
+    case 'duds':
+      u.cloud.duds = Number(w[0]);
+      return;
+    case 'lose-rentals':
+      u.cloud.loseAnswers = Number(w[0]);
+      return;
+    case 'expect-running': {
+      const [job, n] = w;
+      const running = u.rules.running(job!);
+      if (running < Number(n))
+        u.rules.broken.push(`expected ${n} of ${job} running at ${u.world.now / 1000} s, found ${running}`);
+      return;
+    }
+    case 'expect-off': {
+      const running = u.rules.running(w[0]!);
+      if (running > 0)
+        u.rules.broken.push(`expected ${w[0]} off all machines at ${u.world.now / 1000} s, found ${running}`);
+      return;
+    }
+    default:
+      throw new Error(`scenario: unknown act '${verb}'`);
+  }
+}
+
+function judge(u: Universe, e: Expectation): string | undefined {
+  const [subject, verb, third, bound] = e.words as [string, string, string?, string?];
+  if (subject === 'rentals')
+    return u.cloud.rentals <= Number(third) ? undefined : `${u.cloud.rentals} machines were rented`;
+  if (subject === 'starts')
+    return u.rules.starts <= Number(third) ? undefined : `${u.rules.starts} tasks were started`;
+  if (subject === 'machines') {
+    const n = u.cloud.live().length;
+    return n <= Number(third) ? undefined : `${n} machines are left`;
+  }
+  if (verb === 'done' || verb === 'cancelled') {
+    const told = u.rules.stateTold(subject);
+    if (told !== verb) return `${subject} was told as ${told ?? 'unfinished'}`;
+    const at = u.toldAt.get(subject)!;
+    return third === 'by' && at > Number(bound)
+      ? `${subject} was ${verb} only at ${at.toFixed(1)} s`
+      : undefined;
+  }
+  if (verb === 'running') {
+    const n = u.rules.running(subject);
+    return n === Number(third) ? undefined : `${n} tasks of ${subject} run`;
+  }
+  if (verb === 'status') {
+    const s = u.statuses.get(subject);
+    return s === Number(third) ? undefined : `${subject} got ${s ?? 'no answer'}`;
+  }
+  throw new Error(`scenario: unknown expectation '${e.line}'`);
+}
+
+export async function runScenario(
+  text: string,
+  prepare: (u: Universe) => void = () => undefined,
+): Promise<Outcome> {
+  const p = parseScenario(text);
+  const set = (key: string, fallback: number): number => num(p.set, key, fallback);
+  const types: MachineType[] = (p.types.length > 0 ? p.types : [['g4']]).map(([name, ...rest]) => {
+    const o = options(rest);
+    return machineType(name!, p.zones, {
+      cpus: num(o, 'cpus', 16),
+      gpus: num(o, 'gpus', 4),
+      memoryGb: num(o, 'mem', 64),
+      bootS: num(o, 'boot', 5),
+      price: num(o, 'price', 4),
+      spotPrice: num(o, 'spot', 1.5),
+    });
+  });
+  const u = new Universe({
+    seed: set('seed', 1),
+    zones: p.zones,
+    types,
+    teams: p.teams.length > 0 ? p.teams : [team('red', 4, 16)],
+    nodes: set('nodes', 3),
+    reportS: set('report', 1),
+    leaseS: set('lease', 10),
+    cancelS: set('cancel', 25),
+    capacity: set('capacity', 8),
+    rps: set('rps', 150),
+    writeRps: set('writes', 50),
+  });
+  prepare(u);
+  for (const [type, zone, kind] of p.machines) u.cloud.create(type!, zone!, kind === 'spot', true);
+  for (const words of p.hooks) {
+    u.store.hooks.push({ prefix: words[0]!, nth: Number(words[1]), fault: fault(words.slice(2)) });
+  }
+  for (const n of u.nodes) u.world.after(u.random.next() * 200, () => u.boot(n.member));
+  for (const a of p.acts) u.world.after(a.at * 1000, () => act(u, a.words));
+  await u.run(p.until);
+  const failures = [...u.rules.broken];
+  for (const e of p.expects) {
+    const wrong = judge(u, e);
+    if (wrong !== undefined) failures.push(`'${e.line}': ${wrong}`);
+  }
+  return { failures, universe: u };
+}
--- a/test/standin/store.ts
+++ b/test/standin/store.ts
@@ -193,7 +193,8 @@
 
   private txn(map: WireMap, changes: WireMap[]): Reply {
     const conditions = (map[F.if] ?? []) as WireMap[];
-    if (changes.length > this.limits.txnOps || conditions.length > 4 * this.limits.txnOps) return reply(400, {});
+    if (changes.length > this.limits.txnOps || conditions.length > 4 * this.limits.txnOps)
+      return reply(400, {});
     for (const c of changes) {
       if (c[F.lease] !== undefined && !this.leases.has(Number(c[F.lease]))) {
         return reply(400, { [F.error]: 'no such lease' });
--- /dev/null
+++ b/test/standin/universe.ts
@@ -0,0 +1,260 @@
+import { Controller } from '../../src/coordination/controller.js';
+import { decodeAs } from '../../src/protocol/codec.js';
+import type { MachineType } from '../../src/protocol/cloud.js';
+import type { Address, MemberName, TeamName, TypeName, ZoneName } from '../../src/protocol/ids.js';
+import { encodeError, encodeSubmission, jobAnswer, type JobSpec } from '../../src/protocol/jobs.js';
+import { defaultOperator, type Operator } from '../../src/protocol/operator.js';
+import type { Settings, TeamLimits } from '../../src/protocol/settings.js';
+import { Paths } from '../../src/protocol/wire.js';
+import type { HttpClient, Reply, Route } from '../../src/transport/http.js';
+import { silentLog, type Log } from '../../src/transport/log.js';
+import { seededRandom, type Random } from '../../src/transport/random.js';
+import { ProcessClock, World } from './clock.js';
+import { StandInCloud } from './cloud.js';
+import { Net, type Server } from './net.js';
+import { Rules } from './rules.js';
+import { StandInStore } from './store.js';
+import type { JobRun, Shared } from './worker.js';
+
+export interface UniverseOptions {
+  readonly seed: number;
+  readonly zones: readonly string[];
+  readonly types: readonly MachineType[];
+  readonly teams: readonly TeamLimits[];
+  readonly nodes: number;
+  readonly reportS: number;
+  readonly leaseS: number;
+  readonly cancelS: number;
+  readonly capacity: number;
+  readonly rps: number;
+  readonly writeRps: number;
+  readonly operator?: Partial<Operator>;
+}
+
+interface Node {
+  readonly member: string;
+  clock: ProcessClock;
+  controller: Controller | undefined;
+  life: number;
+}
+
+/** Hono's matching is the real server's business; here a route is found by its pattern alone. */
+export function dispatcher(routes: readonly Route[]): Server {
+  const table = routes.map((r) => {
+    const names = [...r.path.matchAll(/:(\w+)/g)].map((m) => m[1]!);
+    return { ...r, names, pattern: new RegExp(`^${r.path.replace(/:\w+/g, '([^/]+)')}$`) };
+  });
+  return (_from, method, path, body) => {
+    for (const r of table) {
+      const m = r.method === method ? r.pattern.exec(path) : null;
+      if (m) return r.handle(Object.fromEntries(r.names.map((n, i) => [n, m[i + 1]!])), body);
+    }
+    return { status: 404, body: encodeError('no such path') };
+  };
+}
+
+/** A whole deployment on virtual time: controllers, state service, cloud, workers, users, network. */
+export class Universe {
+  readonly world = new World();
+  readonly random: Random;
+  readonly net: Net;
+  readonly store: StandInStore;
+  readonly rules: Rules;
+  readonly cloud: StandInCloud;
+  readonly nodes: Node[];
+  readonly jobs = new Map<string, JobRun>();
+  readonly toldAt = new Map<string, number>();
+  readonly statuses = new Map<string, number>();
+  log: (member: string) => Log = () => silentLog;
+  private readonly user: HttpClient;
+
+  constructor(readonly o: UniverseOptions) {
+    this.random = seededRandom(o.seed);
+    this.net = new Net(this.world, this.random);
+    this.store = new StandInStore(this.world, { rps: o.rps, writeRps: o.writeRps, txnOps: 12, valueKb: 8 });
+    this.rules = new Rules(this.world, new Map(o.teams.map((t) => [t.name, t])), o.cancelS);
+    this.nodes = Array.from({ length: o.nodes }, (_, i) => ({
+      member: `n${i}`,
+      clock: new ProcessClock(this.world, 1, 0),
+      controller: undefined,
+      life: 0,
+    }));
+    const shared: Shared = {
+      world: this.world,
+      net: this.net,
+      rules: this.rules,
+      random: this.random,
+      limits: { reportS: o.reportS, leaseS: o.leaseS, gangWaitS: 20, gangPeerS: 4 },
+      jobs: this.jobs,
+      gangs: new Map(),
+      controllers: this.nodes.map((n) => ({ member: n.member, address: `${n.member}:80` })),
+      fetchGbPerS: 1,
+    };
+    this.cloud = new StandInCloud(shared, o.types, o.capacity, 3000);
+    this.net.serve('store:1', (...a) => this.store.handle(...a));
+    this.net.serve('cloud:1', (...a) => this.cloud.handle(...a));
+    this.user = this.net.client('user', () => true);
+    this.store.onCrash = (host) => this.crash(host, 3000);
+  }
+
+  private settings(member: string): Settings {
+    const { o } = this;
+    return {
+      member: member as MemberName,
+      zone: o.zones[0] as ZoneName,
+      listen: `${member}:80` as Address,
+      meshListen: `${member}:81` as Address,
+      peers: this.nodes
+        .filter((n) => n.member !== member)
+        .map((n) => ({ member: n.member as MemberName, address: `${n.member}:81` as Address })),
+      cloud: 'cloud:1' as Address,
+      state: 'store:1' as Address,
+      zones: o.zones as ZoneName[],
+      teams: o.teams,
+      objectives: [],
+      workers: { reportS: o.reportS, leaseS: o.leaseS, gangWaitS: 20, gangPeerS: 4, cancelS: o.cancelS },
+      store: { rps: o.rps, writeRps: o.writeRps, valueKb: 8, txnOps: 12 },
+      cloudLimits: { rps: 8, listLagS: 3 },
+      maxConnections: 1000,
+    };
+  }
+
+  boot(member: string): void {
+    const node = this.nodes.find((n) => n.member === member);
+    if (!node || node.controller) return;
+    node.life++;
+    const clock = new ProcessClock(
+      this.world,
+      1 + (this.random.next() - 0.5) * 0.001,
+      (this.random.next() - 0.5) * 500,
+    );
+    node.clock = clock;
+    const { life } = node;
+    const alive = (): boolean => node.life === life && node.controller !== undefined;
+    const controller = new Controller({
+      settings: this.settings(member),
+      operator: { ...defaultOperator(), ...this.o.operator },
+      clock,
+      random: seededRandom(this.o.seed * 31 + life * 7 + Number(member.slice(1))),
+      log: this.log(member),
+      http: this.net.client(member, alive),
+      mesh: this.net.mesh(member),
+      incarnation: 1 + life * 1000 + Number(member.slice(1)),
+    });
+    node.controller = controller;
+    this.net.serve(`${member}:80`, dispatcher(controller.routes));
+    controller.start();
+  }
+
+  crash(member: string, restartMs: number): void {
+    const node = this.nodes.find((n) => n.member === member);
+    if (!node?.controller) return;
+    node.clock.kill();
+    node.controller = undefined;
+    this.net.serve(`${member}:80`, undefined);
+    this.net.dropMesh(member);
+    this.world.after(restartMs, () => this.boot(member));
+  }
+
+  holder(): string | undefined {
+    return this.nodes.find((n) => n.controller?.term.canDecide())?.member;
+  }
+
+  // ---- users ----------------------------------------------------------------------------------------
+
+  private anyNode(): string {
+    const up = this.nodes.filter((n) => n.controller);
+    return (up[Math.floor(this.random.next() * up.length)] ?? this.nodes[0]!).member;
+  }
+
+  private read(
+    reply: Reply,
+  ): ReturnType<typeof decodeAs<{ state: 'queued' | 'running' | 'done' | 'cancelled' }>> {
+    return decodeAs(jobAnswer as never, reply.body);
+  }
+
+  private async ask(
+    what: 'submit' | 'poll' | 'cancel',
+    job: string,
+    method: string,
+    path: string,
+    body: Uint8Array | undefined,
+    waitMs: number,
+    node = this.anyNode(),
+  ): Promise<number | undefined> {
+    const reply = await this.user.call(`${node}:80`, method, path, body, waitMs);
+    if (!reply.ok) return undefined;
+    const { status } = reply.value;
+    const answer = status === 200 || status === 201 ? this.read(reply.value) : undefined;
+    const state = answer?.ok ? answer.value.state : undefined;
+    this.rules.answered(job, status, state, what);
+    if ((state === 'done' || state === 'cancelled') && !this.toldAt.has(job)) {
+      this.toldAt.set(job, this.world.now / 1000);
+    }
+    return status;
+  }
+
+  async submit(spec: JobSpec, runS: number, faulty: boolean): Promise<void> {
+    this.rules.submitted(spec);
+    this.jobs.set(spec.id, { spec, runS, faulty, saved: 0 });
+    const body = encodeSubmission(spec);
+    const until = this.world.now + 60_000;
+    for (;;) {
+      const status = await this.ask('submit', spec.id, 'POST', Paths.jobs, body, 5000);
+      if (status !== undefined) this.statuses.set(spec.id, status);
+      if (status === 200 || status === 201) return this.poll(spec.id);
+      if (status === 400 || status === 422 || this.world.now > until) return;
+      await this.world.sleep(1000);
+    }
+  }
+
+  private async poll(job: string): Promise<void> {
+    while (this.rules.stateTold(job) === undefined) {
+      await this.world.sleep(1500 + this.random.next() * 1000);
+      await this.pollOnce(job);
+    }
+  }
+
+  pollOnce(job: string, node?: string): Promise<number | undefined> {
+    return this.ask('poll', job, 'GET', Paths.job.replace(':id', job), undefined, 2000, node);
+  }
+
+  async cancel(job: string): Promise<void> {
+    this.rules.cancelAsking(job);
+    for (let i = 0; i < 60; i++) {
+      const status = await this.ask('cancel', job, 'POST', Paths.cancel.replace(':id', job), undefined, 5000);
+      if (status === 200) return;
+      await this.world.sleep(1000);
+    }
+  }
+
+  async run(untilS: number): Promise<void> {
+    await this.world.runUntil(untilS * 1000, () => this.rules.check());
+  }
+}
+
+export const machineType = (
+  name: string,
+  zones: readonly string[],
+  f: Partial<MachineType>,
+): MachineType => ({
+  name: name as TypeName,
+  cpus: 16,
+  gpus: 4,
+  memoryGb: 64,
+  cacheGb: 100,
+  fetchGbPerS: 1,
+  price: 4,
+  spotPrice: 1.5,
+  bootS: 5,
+  zones: zones as ZoneName[],
+  ...f,
+});
+
+export const team = (name: string, gpus: number, gpusMax: number): TeamLimits => ({
+  name: name as TeamName,
+  cpus: 0,
+  cpusMax: 0,
+  gpus,
+  gpusMax,
+});
