--- a/src/bookkeeping/world.ts
+++ b/src/bookkeeping/world.ts
@@ -34,11 +34,16 @@
   readonly since: SteadyMs;
   /** Number of the report whose answer carried the start. */
   sentSeq: Seq | undefined;
+  /**
+   * A start sent to the worker's own address: `flying` until it is answered, `floating` when it never was.
+   * Such a start may run minutes later, so absence proves nothing until the worker obeys a higher token.
+   */
+  order: 'flying' | 'floating' | undefined;
   /** True once a report showed the task under this session. */
   seen: boolean;
   state: TaskState | undefined;
   runningSince: SteadyMs | undefined;
-  stop: { graceS: number; readonly why: string; readonly at: SteadyMs; sentSeq: Seq | undefined } | undefined;
+  stop: { graceS: number; readonly why: string; readonly at: SteadyMs; ordered: boolean } | undefined;
   /** Proven off the machine; waits for the store to hold its end. */
   ended: { readonly how: 'done' | Cause | 'gone' | 'unsent'; readonly at: SteadyMs } | undefined;
 }
@@ -191,6 +196,7 @@
       plan,
       since: now,
       sentSeq: undefined,
+      order: undefined,
       seen: false,
       state: undefined,
       runningSince: undefined,
@@ -205,6 +211,8 @@
   /** Proof that the task is off its machine. The task is not free for another plan before it is settled. */
   end(p: Placement, how: NonNullable<Placement['ended']>['how'], now: SteadyMs): void {
     if (p.ended) return;
+    // A floating start could still run after this end; only the machine's or session's end rules that out.
+    if (p.order !== undefined && how !== 'gone') return;
     p.ended = { how, at: now };
     this.unsettled.add(p);
     if (![...p.machine.placements].some((q) => !q.ended)) p.machine.idleSince = now;
--- a/src/coordination/command.ts
+++ b/src/coordination/command.ts
@@ -64,7 +64,7 @@
     const p = world.jobs.get(task.job)?.placements.get(task.index);
     if (p && p.machine === machine && p.attempt === task.attempt && p.session === r.session) {
       reported.add(p);
-      ownTask(ctx, p, task, r, now, commands);
+      ownTask(ctx, p, task, now, commands);
     } else {
       stranger(ctx, machine, task, commands);
       if (task.state !== 'exited') strangers.push(task);
@@ -83,6 +83,22 @@
   return commands;
 }
 
+/**
+ * The answer to commands sent to the worker's address is its report after them. It shows what is there; that
+ * something is missing is left to the next ordinary report.
+ */
+export function handleOrderReply(ctx: CommandContext, machine: Machine, r: Report): void {
+  if (r.session !== machine.session || r.seq <= machine.seq) return;
+  const now = ctx.clock.now();
+  machine.seq = r.seq;
+  for (const task of r.tasks) {
+    const p = ctx.world.jobs.get(task.job)?.placements.get(task.index);
+    if (p && p.machine === machine && p.attempt === task.attempt && p.session === r.session) {
+      ownTask(ctx, p, task, now, []);
+    }
+  }
+}
+
 function machineOf(ctx: CommandContext, r: Report, now: SteadyMs): Machine {
   const known = ctx.world.machines.get(r.machine);
   if (known) return known;
@@ -110,7 +126,6 @@
   ctx: CommandContext,
   p: Placement,
   task: ReportedTask,
-  r: Report,
   now: SteadyMs,
   commands: Command[],
 ): void {
@@ -138,7 +153,6 @@
     }
   }
   if (p.stop) {
-    p.stop.sentSeq ??= r.seq;
     commands.push({ op: 'stop', ...base, graceS: p.stop.graceS });
   }
 }
@@ -174,6 +188,8 @@
   commands: Command[],
 ): void {
   const base = { job: p.job.id, index: p.index, attempt: p.attempt };
+  // A start is on its way to the worker itself: neither its absence nor another start means anything yet.
+  if (p.order !== undefined) return;
   if (p.seen) {
     // It was there and isn't any more, in a newer report of the same session.
     ctx.log.info('task-vanished', { task: `${p.job.id}/${p.index}`, machine: p.machine.id });
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -247,7 +247,7 @@
         // What can't save may as well run on: it could be done before the machine goes.
         if (spec.kind === 'array' && spec.checkpointS === 0) continue;
         const all = spec.kind === 'gang' ? [...p.job.placements.values()] : [p];
-        for (const q of all) q.stop ??= { graceS: graceOf(spec), why: 'notice', at: now, sentSeq: undefined };
+        for (const q of all) q.stop ??= { graceS: graceOf(spec), why: 'notice', at: now, ordered: false };
         this.d.log.info('task-moved', { task: `${p.job.id}/${p.index}`, machine: m.id, why: 'notice' });
       }
     }
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -2,10 +2,12 @@
 import { sleep, type Clock, type SteadyMs } from '../transport/clock.js';
 import type { Log } from '../transport/log.js';
 import { jitter, type Random } from '../transport/random.js';
-import type { Attempt, JobId, Mark } from '../protocol/ids.js';
+import { decodeAs } from '../protocol/codec.js';
+import type { Address, Attempt, JobId, Mark } from '../protocol/ids.js';
 import type { Operator } from '../protocol/operator.js';
 import type { Settings } from '../protocol/settings.js';
-import type { Command, Report } from '../protocol/workers.js';
+import { Paths } from '../protocol/wire.js';
+import { encodeCommands, reportSchema, type Command, type Report } from '../protocol/workers.js';
 import type { Mirror, MirroredRow } from '../bookkeeping/mirror.js';
 import {
   fits,
@@ -19,8 +21,8 @@
   type Row,
 } from '../bookkeeping/records.js';
 import type { Store } from '../bookkeeping/store.js';
-import type { Job, Machine, World } from '../bookkeeping/world.js';
-import { handleReport } from './command.js';
+import type { Job, Machine, Placement, World } from '../bookkeeping/world.js';
+import { handleOrderReply, handleReport, type CommandContext } from './command.js';
 import { Fleet, type FleetDeps } from './fleet.js';
 import { loadWorld, steadyOf } from './load.js';
 import { planRound, type PlannedTask, type Unplaced } from './planner.js';
@@ -40,6 +42,9 @@
   readonly operator: Operator;
 }
 
+/** How long the worker may take over a direct command; its answer usually takes milliseconds. */
+const ORDER_MS = 1500;
+
 /** All that one term's holder does. It lives for one term only: a new term starts from the store again. */
 export class Holder {
   world: World | undefined;
@@ -133,7 +138,7 @@
     job.cancelledAt = now;
     this.d.log.info('job-cancelled', { job: job.id, tasks: job.placements.size });
     for (const p of job.placements.values()) {
-      p.stop = { graceS: 0, why: 'cancelled', at: now, sentSeq: undefined };
+      p.stop = { graceS: 0, why: 'cancelled', at: now, ordered: false };
     }
     this.wake();
   }
@@ -145,22 +150,85 @@
   }
 
   onReport(report: Report): readonly Command[] {
-    const { world, d } = this;
+    const { world } = this;
     if (!world) return [];
-    const commands = [
-      ...handleReport(
-        {
-          world,
-          clock: d.clock,
-          log: d.log,
-          term: this.held.term,
-          mayStart: () => d.term.canDecide(),
-          wake: () => this.wake(),
-        },
-        report,
-      ),
+    return handleReport(this.context(world), report);
+  }
+
+  private context(world: World): CommandContext {
+    const { d } = this;
+    return {
+      world,
+      clock: d.clock,
+      log: d.log,
+      term: this.held.term,
+      mayStart: () => d.term.canDecide(),
+      wake: () => this.wake(),
+    };
+  }
+
+  // ---- direct commands ------------------------------------------------------------------------------
+
+  private ordersFrom = 0 as SteadyMs;
+
+  /**
+   * Starts and stops that needn't wait for the next report go to the worker's own address. They may be
+   * executed minutes late, so a start whose answer is lost makes the term rise: the worker then obeys a
+   * higher token, and what is still on its way is dropped.
+   */
+  private order(machine: Machine, starts: readonly Placement[], stops: readonly Placement[]): void {
+    const { d, world } = this;
+    const now = d.clock.now();
+    const { address, lastReport, session } = machine;
+    if (!world || address === undefined || lastReport === undefined || !machine.trusted) return;
+    // A machine that is late with its report is likely to leave the answer open.
+    const lively = now - lastReport < d.settings.workers.reportS * 1500 && now >= this.ordersFrom;
+    if (!lively || !d.term.canDecide() || machine.state !== 'up') return;
+    const usable = starts.filter(
+      (p) => !p.ended && !p.stop && p.session === session && p.sentSeq === undefined,
+    );
+    if (usable.length === 0 && stops.length === 0) return;
+    const name = (p: Placement) => ({ job: p.job.id, index: p.index, attempt: p.attempt });
+    const commands: Command[] = [
+      ...stops.map((p): Command => ({ op: 'stop', ...name(p), graceS: p.stop?.graceS ?? 0 })),
+      ...usable.map((p): Command => ({ op: 'start', ...name(p) })),
     ];
-    return commands;
+    for (const p of usable) p.order = 'flying';
+    void this.sendOrder(world, machine, address, usable, encodeCommands(this.held.term, commands, session));
+  }
+
+  /** Stops that no worker was told yet. A late stop only ever meets the attempt it was meant for. */
+  private orderStops(world: World): void {
+    for (const m of world.machines.values()) {
+      const stops = [...m.placements].filter((p) => p.stop && !p.stop.ordered && !p.ended && p.seen);
+      if (stops.length === 0) continue;
+      for (const p of stops) if (p.stop) p.stop.ordered = true;
+      this.order(m, [], stops);
+    }
+  }
+
+  private async sendOrder(
+    world: World,
+    machine: Machine,
+    address: Address,
+    starts: readonly Placement[],
+    body: Uint8Array,
+  ): Promise<void> {
+    const { d } = this;
+    const reply = await d.http.call(address, 'POST', Paths.orders, body, ORDER_MS);
+    if (!this.live()) return;
+    if (!reply.ok && reply.error.kind === 'unknown' && starts.length > 0) {
+      for (const p of starts) p.order = 'floating';
+      d.log.info('order-unanswered', { machine: machine.id, starts: starts.length, why: reply.error.why });
+      return d.term.rise('a start without an answer');
+    }
+    for (const p of starts) p.order = undefined;
+    const report =
+      reply.ok && reply.value.status === 200 ? decodeAs(reportSchema, reply.value.body) : undefined;
+    if (report?.ok) handleOrderReply(this.context(world), machine, report.value);
+    else if (starts.length > 0)
+      d.log.info('order-refused', { machine: machine.id, status: reply.ok ? reply.value.status : 0 });
+    // What was stopped or ended meanwhile is dealt with at the next report.
   }
 
   // ---- rounds: plan, commit -------------------------------------------------------------------------
@@ -202,13 +270,14 @@
     const now = d.clock.now();
     for (const s of result.stops) {
       const all = s.placement.job.spec.kind === 'gang' ? s.placement.job.placements.values() : [s.placement];
-      for (const p of all) p.stop ??= { graceS: s.graceS, why: 'preempted', at: now, sentSeq: undefined };
+      for (const p of all) p.stop ??= { graceS: s.graceS, why: 'preempted', at: now, ordered: false };
       d.log.info('task-preempted', {
         task: `${s.placement.job.id}/${s.placement.index}`,
         machine: s.placement.machine.id,
         for: s.forJob,
       });
     }
+    this.orderStops(world);
     if (result.tasks.length > 0) await this.commit(world, result.tasks);
   }
 
@@ -284,7 +353,7 @@
       if (world.machines.get(t.machine.id) !== t.machine || t.machine.session !== session) {
         world.end(p, 'gone', now);
       } else if (t.job.cancelledAt !== undefined) {
-        p.stop = { graceS: 0, why: 'cancelled', at: now, sentSeq: undefined };
+        p.stop = { graceS: 0, why: 'cancelled', at: now, ordered: false };
       }
     }
     d.log.info('round-committed', {
@@ -293,6 +362,13 @@
       jobs: jobs.map((j) => j.id).join(' '),
       machines: [...sessions.keys()].map((m) => m.id).join(' '),
     });
+    for (const m of sessions.keys()) {
+      this.order(
+        m,
+        [...m.placements].filter((p) => p.plan === id),
+        [],
+      );
+    }
     this.fleet?.committed([...sessions.keys()]);
     this.dirty = true;
   }
