--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -64,6 +64,7 @@
   holder: key('term/holder'),
   epoch: key('term/epoch'),
   catalog: key('fleet/types'),
+  standing: key('fleet/standing'),
   job: (id: JobId): StoreKey => key(Prefix.job + id),
   end: (id: JobId): StoreKey => key(Prefix.end + id),
   finish: (id: JobId, chunk: number): StoreKey => key(`${Prefix.finish}${id}/${pad(chunk, 3)}`),
@@ -88,6 +89,9 @@
   .transform((w) => w as unknown as HolderRecord);
 export const epochSchema = z.object({ term: u64 }).transform((w) => ({ term: w.term as Term }));
 
+/** Machines that stood before the service first ran: the operator's own, never returned for idling. */
+export const standingSchema = z.object({ machines: z.array(z.string()) });
+
 // ---- rows -------------------------------------------------------------------------------------------
 
 /** A job's row while it lives: its generation rises with every round, revision and claim written to it. */
--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet-planner.ts
@@ -18,6 +18,8 @@
     readonly spot: boolean;
     readonly count: number;
   }[];
+  /** The operator's own machines: not returned for idling. */
+  readonly standing: ReadonlySet<string>;
   /** 0: as long as a boot takes. */
   readonly idleReturnMs: number;
 }
@@ -175,6 +177,7 @@
     const patience = s.idleReturnMs > 0 ? s.idleReturnMs : Math.max(10, type?.bootS ?? 60) * 1000;
     const faulty = m.errors >= 3;
     const noticed = m.noticeAt !== undefined;
+    if (!faulty && !noticed && s.standing.has(m.id)) continue;
     if (!faulty && !noticed && s.now - m.idleSince < patience) continue;
     const wanted = s.unplaced.some(
       (u) => u.reason === 'no room' && type && fitsType(u.job.spec, type) && (u.job.spec.spot || !m.spot),
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -1,12 +1,15 @@
+import { Rank } from '../transport/budget.js';
 import { plus, sleep, type Clock, type SteadyMs } from '../transport/clock.js';
 import type { HttpClient } from '../transport/http.js';
 import type { Log } from '../transport/log.js';
 import { jitter, type Random } from '../transport/random.js';
 import type { Hire, ListedMachine } from '../protocol/cloud.js';
-import type { MachineId, TeamName } from '../protocol/ids.js';
+import { NO_MARK, type MachineId, type TeamName } from '../protocol/ids.js';
 import type { Operator } from '../protocol/operator.js';
 import type { Settings, TeamLimits } from '../protocol/settings.js';
 import { Paths } from '../protocol/wire.js';
+import { fits, Keys, seal, standingSchema, unseal } from '../bookkeeping/records.js';
+import type { Store } from '../bookkeeping/store.js';
 import { RETURN_MOST, type Cloud } from '../bookkeeping/cloud.js';
 import type { Machine, World } from '../bookkeeping/world.js';
 import { kindKey, LOST_BOOT, planFleet } from './fleet-planner.js';
@@ -19,6 +22,7 @@
   readonly random: Random;
   readonly log: Log;
   readonly cloud: Cloud;
+  readonly store: Store;
   readonly http: HttpClient;
   readonly types: TypeBook;
   readonly term: TermKeeper;
@@ -71,7 +75,7 @@
     this.watchNotices(now);
     this.watchSilence(now);
     // Before the first whole list the fleet is not known: renting then would rent it twice.
-    if (this.listed === 0 || now - this.since < 500) return;
+    if (this.listed === 0 || this.standing === undefined) return;
     const plan = planFleet({
       now,
       world,
@@ -79,6 +83,7 @@
       unplaced: this.unplaced(),
       refusedUntil: this.refusedUntil,
       pending: [...this.pending],
+      standing: this.standing,
       idleReturnMs: d.operator.idleReturnS * 1000,
     });
     for (const r of plan.rent) {
@@ -165,6 +170,49 @@
     this.wake();
   }
 
+  // ---- the operator's own machines --------------------------------------------------------------------
+
+  private standing: ReadonlySet<string> | undefined;
+
+  /**
+   * What stands when the service first runs was provided by the operator and stays: its images and its room
+   * are there for work that can't wait for a boot. Written once, before the first rental, so that every
+   * later holder can tell it from what the service rented.
+   */
+  private async learnStanding(listed: readonly ListedMachine[]): Promise<void> {
+    const { d } = this;
+    if (d.operator.keepStanding === 0) {
+      this.standing = new Set();
+      return;
+    }
+    const entry = await d.store.get(Keys.standing, Rank.Finish);
+    if (!entry.ok || !this.live()) return;
+    if (entry.value) {
+      const kept = unseal(standingSchema, entry.value.value);
+      if (!kept.ok) d.log.error('standing-record-unreadable', { why: kept.error });
+      this.standing = new Set(kept.ok ? kept.value.machines : []);
+      return;
+    }
+    const machines = listed.filter((m) => m.state === 'running').map((m) => m.id);
+    let sealed = seal({ machines });
+    while (!fits(sealed, d.settings.store.valueKb)) {
+      machines.length = Math.floor(machines.length / 2);
+      sealed = seal({ machines });
+    }
+    const done = await d.store.txn(
+      [
+        { key: Keys.holder, mark: d.held.mark },
+        { key: Keys.standing, mark: NO_MARK },
+      ],
+      [{ op: 'put', key: Keys.standing, value: sealed }],
+      Rank.Finish,
+    );
+    // Anything but a clear yes: read it again after the next list.
+    if (!this.live() || !done.ok || done.value.kind !== 'committed') return;
+    this.standing = new Set(machines);
+    d.log.info('standing-machines', { machines: machines.length });
+  }
+
   // ---- list -----------------------------------------------------------------------------------------
 
   private listed = 0;
@@ -176,7 +224,11 @@
     while (this.live()) {
       const result = await d.cloud.list();
       if (!this.live()) return;
-      if (result.ok) this.applyList(result.value.machines, result.value.askedAt);
+      if (result.ok) {
+        this.applyList(result.value.machines, result.value.askedAt);
+        if (this.standing === undefined && d.term.canDecide())
+          await this.learnStanding(result.value.machines);
+      }
       await sleep(d.clock, jitter(d.random, LIST_MS));
     }
   }
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -17,6 +17,7 @@
   readonly idleReturnS: number;
   readonly silentFenceS: number;
   readonly holderShare: number;
+  readonly keepStanding: number;
 }
 
 interface Knob {
@@ -70,6 +71,13 @@
     max: 3600,
     meaning: 'silence before a machine is fenced; 0: four reports',
   },
+  'keep-standing': {
+    field: 'keepStanding',
+    fallback: 1,
+    min: 0,
+    max: 1,
+    meaning: 'keep machines that stood before the service first ran (1) or return them when idle (0)',
+  },
   'holder-share': {
     field: 'holderShare',
     fallback: 0.7,
