--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -289,14 +289,11 @@
     for (const room of this.rooms) {
       if (room.reserved || !roomFor(room, job.spec) || !this.eligible(job, zones, room) || !also(room))
         continue;
-      const holds = this.holdsImage(room.machine, job);
-      const free = room.gpus + room.cpus / 1000;
       const score = [
         Number(job.spec.spot && room.machine.spot),
-        Number(holds),
+        Number(this.holdsImage(room.machine, job)),
         -room.type.gpus - room.type.cpus / 1000,
-        // Among holders of the image the fullest: the emptier ones can then empty and be returned.
-        holds ? -free : free,
+        room.gpus + room.cpus / 1000,
       ];
       if (!best || compare(score, bestScore) > 0) {
         best = room;
