--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -35,6 +35,7 @@
 const TICK_MS = 500;
 const LIST_MS = 2000;
 const REFUSED_MS = 8000;
+const STATE_LOG_MS = 10_000;
 
 /** Rents for work that waits, returns what idles, and fences what can't be reached by returning it. */
 export class Fleet {
@@ -74,6 +75,7 @@
     this.watchCancelled(now);
     this.watchNotices(now);
     this.watchSilence(now);
+    this.logState(now);
     // Before the first whole list the fleet is not known: renting then would rent it twice.
     if (this.listed === 0 || this.standing === undefined) return;
     const plan = planFleet({
@@ -99,6 +101,31 @@
     if (lost.length > 0) void this.giveBack(lost, 'never came up');
   }
 
+  private loggedAt = -Infinity;
+
+  private logState(now: SteadyMs): void {
+    if (now - this.loggedAt < STATE_LOG_MS) return;
+    this.loggedAt = now;
+    const count = { ordinary: 0, spot: 0, booting: 0, idle: 0 };
+    let gpus = 0;
+    let running = 0;
+    let starting = 0;
+    for (const m of this.world.machines.values()) {
+      if (m.state === 'booting') count.booting++;
+      else count[m.spot ? 'spot' : 'ordinary']++;
+      if (m.state === 'up') gpus += this.d.types.all().get(m.type)?.gpus ?? 0;
+      if (m.state === 'up' && m.placements.size === 0) count.idle++;
+      for (const p of m.placements) {
+        if (p.ended) continue;
+        if (p.state === 'running') running += p.job.spec.gpus;
+        else starting += p.job.spec.gpus;
+      }
+    }
+    const waiting: Record<string, number> = {};
+    for (const u of this.unplaced()) waiting[u.reason] = (waiting[u.reason] ?? 0) + u.count;
+    this.d.log.info('fleet-state', { ...count, gpus, running, starting, waiting });
+  }
+
   // ---- rent -----------------------------------------------------------------------------------------
 
   /** Names carry the term and a number: no other node, and no other term, can use one again. */
