--- a/src/coordination/command.ts
+++ b/src/coordination/command.ts
@@ -2,6 +2,7 @@
 import type { Log } from '../transport/log.js';
 import type { Term } from '../protocol/ids.js';
 import type { Command, Report, ReportedTask } from '../protocol/workers.js';
+import type { Estimates } from '../bookkeeping/estimates.js';
 import type { Job, Machine, Placement, World } from '../bookkeeping/world.js';
 
 export interface CommandContext {
@@ -9,6 +10,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly term: Term;
+  readonly estimates: Estimates;
   /** Starts follow a receipt, but only while this node surely holds the term. */
   readonly mayStart: () => boolean;
   readonly wake: () => void;
@@ -138,6 +140,9 @@
     if (how === 'done') {
       p.job.errors = 0;
       machine.errors = 0;
+      if (p.runningSince !== undefined && p.job.spec.kind === 'array' && p.job.spec.checkpointS === 0) {
+        ctx.estimates.observe(p.job.spec, (now - p.runningSince) / 1000);
+      }
     } else afterExit(ctx, p, how, now);
     ctx.world.end(p, how, now);
     ctx.wake();
--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet-planner.ts
@@ -1,6 +1,7 @@
 import type { SteadyMs } from '../transport/clock.js';
 import type { MachineType } from '../protocol/cloud.js';
 import type { MachineId, TypeName, ZoneName } from '../protocol/ids.js';
+import type { Estimates } from '../bookkeeping/estimates.js';
 import type { Job, Machine, World } from '../bookkeeping/world.js';
 import { fitsType, roomFor, zoneAllowed, type Unplaced } from './planner.js';
 
@@ -20,6 +21,9 @@
   }[];
   /** The operator's own machines: not returned for idling. */
   readonly standing: ReadonlySet<string>;
+  readonly estimates: Estimates;
+  /** Seconds from submission within which the class's jobs should be finished, as the settings say. */
+  readonly finishWithin: ReadonlyMap<string, number>;
   /** 0: as long as a boot takes. */
   readonly idleReturnMs: number;
 }
@@ -73,6 +77,80 @@
   return placed;
 }
 
+/** Room that running work will give back: one place of the size of the task that holds it now. */
+interface Slot {
+  readonly machine: Machine;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  /** Seconds from now. */
+  freeIn: number;
+}
+
+function slotsOf(s: FleetSnapshot): Slot[] {
+  const slots: Slot[] = [];
+  for (const m of s.world.machines.values()) {
+    if (m.state !== 'up' || m.noticeAt !== undefined || m.suspectUntil > s.now) continue;
+    const type = s.types.get(m.type);
+    if (!type) continue;
+    let { cpus, memoryGb } = type;
+    for (const p of m.placements) {
+      if (p.ended) continue;
+      cpus -= p.job.spec.cpus;
+      memoryGb -= p.job.spec.memoryGb;
+    }
+    for (const p of m.placements) {
+      const { spec } = p.job;
+      if (p.ended || (spec.kind === 'service' && !p.stop)) continue;
+      const ran = p.runningSince === undefined ? 0 : (s.now - p.runningSince) / 1000;
+      const freeIn = p.stop ? spec.saveS : s.estimates.rest(spec, ran);
+      slots.push({
+        machine: m,
+        cpus: spec.cpus + cpus,
+        gpus: spec.gpus,
+        memoryGb: spec.memoryGb + memoryGb,
+        freeIn,
+      });
+    }
+  }
+  return slots.sort((a, b) => a.freeIn - b.freeIn);
+}
+
+/**
+ * How many of the job's waiting tasks will find room that is given back in time. Renting for them would only
+ * bring a machine that comes later, without the image, and then stands idle.
+ */
+function servedBySlots(job: Job, count: number, slots: Slot[], s: FleetSnapshot): number {
+  const { spec } = job;
+  if (spec.tasks > 1 && spec.kind === 'gang') return 0;
+  const fitting = [...s.types.values()].filter((t) => fitsType(spec, t));
+  if (fitting.length === 0) return 0;
+  const boot = Math.min(...fitting.map((t) => t.bootS));
+  const fetch = spec.imageGb / Math.max(...fitting.map((t) => t.fetchGbPerS), 1e-3);
+  const runS = s.estimates.of(spec);
+  const age = (s.now - job.acceptedAt) / 1000;
+  const within = spec.deadlineS ?? s.finishWithin.get(spec.class);
+  // The latest start that still makes the aim; and never sooner than a rented machine could start it.
+  const latest = Math.max(
+    boot + fetch,
+    within === undefined || spec.kind !== 'array' ? 0 : within * 0.9 - age - runS,
+  );
+  let served = 0;
+  for (const slot of slots) {
+    if (served >= count) break;
+    if (slot.gpus < spec.gpus || slot.cpus < spec.cpus || slot.memoryGb < spec.memoryGb) continue;
+    if ((slot.machine.spot && !spec.spot) || (spec.types !== null && !spec.types.includes(slot.machine.type)))
+      continue;
+    if (spec.zone !== null && spec.zone !== slot.machine.zone) continue;
+    while (slot.freeIn <= latest && served < count) {
+      served++;
+      slot.freeIn += spec.kind === 'service' ? Infinity : runS;
+    }
+  }
+  slots.sort((a, b) => a.freeIn - b.freeIn);
+  return served;
+}
+
 /** What to rent for the work that found no room, and what to give back. */
 export function planFleet(s: FleetSnapshot): FleetPlan {
   const virtual: Virtual[] = [];
@@ -94,6 +172,7 @@
     for (let i = 0; type && i < p.count; i++) virtual.push(empty(type, p.zone, p.spot));
   }
 
+  const slots = slotsOf(s);
   const rents = new Map<string, { type: TypeName; zone: ZoneName; spot: boolean; count: number }>();
   for (const u of s.unplaced) {
     if (u.reason !== 'no room') continue;
@@ -102,6 +181,7 @@
     for (const p of u.job.placements.values()) {
       if (!p.ended) zones.set(p.machine.zone, (zones.get(p.machine.zone) ?? 0) + 1);
     }
+    left -= servedBySlots(u.job, left, slots, s);
     for (const v of virtual) left -= fillFrom(u.job, zones, v, left);
     while (left > 0) {
       const choice = choose(u.job, left, zones, s, perZone);
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -11,6 +11,7 @@
 import { fits, Keys, seal, standingSchema, unseal } from '../bookkeeping/records.js';
 import type { Store } from '../bookkeeping/store.js';
 import { RETURN_MOST, type Cloud } from '../bookkeeping/cloud.js';
+import type { Estimates } from '../bookkeeping/estimates.js';
 import type { Machine, World } from '../bookkeeping/world.js';
 import { kindKey, LOST_BOOT, planFleet } from './fleet-planner.js';
 import { graceOf, type Unplaced } from './planner.js';
@@ -45,15 +46,21 @@
   private readonly pending = new Set<Hire>();
   private readonly returning = new Set<MachineId>();
   private readonly since: SteadyMs;
+  private readonly finishWithin = new Map<string, number>();
 
   constructor(
     private readonly d: FleetDeps,
     private readonly world: World,
     private readonly live: () => boolean,
+    private readonly estimates: Estimates,
     private readonly unplaced: () => readonly Unplaced[],
     private readonly wake: () => void,
   ) {
     this.since = d.clock.now();
+    for (const o of d.settings.objectives) {
+      if (o.kind !== 'finished' || o.class === undefined || o.withinS === undefined) continue;
+      this.finishWithin.set(o.class, Math.min(o.withinS, this.finishWithin.get(o.class) ?? Infinity));
+    }
   }
 
   committed(machines: readonly Machine[]): void {
@@ -86,6 +93,8 @@
       refusedUntil: this.refusedUntil,
       pending: [...this.pending],
       standing: this.standing,
+      estimates: this.estimates,
+      finishWithin: this.finishWithin,
       idleReturnMs: d.operator.idleReturnS * 1000,
     });
     for (const r of plan.rent) {
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -20,6 +20,7 @@
   type PlanJob,
   type Row,
 } from '../bookkeeping/records.js';
+import { Estimates } from '../bookkeeping/estimates.js';
 import type { Store } from '../bookkeeping/store.js';
 import type { Job, Machine, Placement, World } from '../bookkeeping/world.js';
 import { handleOrderReply, handleReport, type CommandContext } from './command.js';
@@ -54,6 +55,7 @@
   private round = 0;
   private fleet: Fleet | undefined;
   unplaced: readonly Unplaced[] = [];
+  private readonly estimates = new Estimates();
   private nudge: (() => void) | undefined;
 
   constructor(
@@ -93,6 +95,7 @@
       { ...d, held: this.held },
       this.world,
       () => this.live(),
+      this.estimates,
       () => this.unplaced,
       () => this.wake(),
     );
@@ -162,6 +165,7 @@
       clock: d.clock,
       log: d.log,
       term: this.held.term,
+      estimates: this.estimates,
       mayStart: () => d.term.canDecide(),
       wake: () => this.wake(),
     };
