--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet-planner.ts
@@ -142,7 +142,8 @@
     if ((slot.machine.spot && !spec.spot) || (spec.types !== null && !spec.types.includes(slot.machine.type)))
       continue;
     if (spec.zone !== null && spec.zone !== slot.machine.zone) continue;
-    while (slot.freeIn <= latest && served < count) {
+    const ready = slot.machine.images.has(spec.image) ? 0 : fetch;
+    while (slot.freeIn + ready <= latest && served < count) {
       served++;
       slot.freeIn += spec.kind === 'service' ? Infinity : runS;
     }
