--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet-planner.ts
@@ -44,6 +44,8 @@
 /** Past this multiple of the nominal boot time a machine isn't counted on any more; past the other it is returned. */
 const LATE_BOOT = 1.8;
 export const LOST_BOOT = 4;
+/** How long an idle machine is kept, in nominal boot times. */
+const IDLE_BOOTS = 0.3;
 
 interface Virtual {
   readonly type: MachineType;
@@ -254,8 +256,9 @@
   for (const m of s.world.machines.values()) {
     if (!isIdle(m)) continue;
     const type = s.types.get(m.type);
-    // Renting again costs a boot: keeping a machine for about that long can at worst double the bill.
-    const patience = s.idleReturnMs > 0 ? s.idleReturnMs : Math.max(10, type?.bootS ?? 60) * 1000;
+    // Renting again costs a boot; but work that comes in bursts seldom needs the very last machine again.
+    const patience =
+      s.idleReturnMs > 0 ? s.idleReturnMs : Math.max(10, (type?.bootS ?? 60) * IDLE_BOOTS) * 1000;
     const faulty = m.errors >= 3;
     const noticed = m.noticeAt !== undefined;
     if (!faulty && !noticed && s.standing.has(m.id)) continue;
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -26,7 +26,7 @@
 import { handleOrderReply, handleReport, type CommandContext } from './command.js';
 import { Fleet, type FleetDeps } from './fleet.js';
 import { loadWorld, steadyOf } from './load.js';
-import { planRound, type PlannedTask, type Unplaced } from './planner.js';
+import { planRound, startAims, type PlannedTask, type StartAims, type Unplaced } from './planner.js';
 import { nextSettlement } from './settle.js';
 import type { HeldTerm, TermKeeper } from './term.js';
 import type { TypeBook } from './types.js';
@@ -56,12 +56,15 @@
   private fleet: Fleet | undefined;
   unplaced: readonly Unplaced[] = [];
   private readonly estimates = new Estimates();
+  private readonly aims: StartAims;
   private nudge: (() => void) | undefined;
 
   constructor(
     private readonly d: HolderDeps,
     private readonly held: HeldTerm,
-  ) {}
+  ) {
+    this.aims = startAims(d.settings.objectives);
+  }
 
   stop(): void {
     this.alive = false;
@@ -269,6 +272,8 @@
       maxTasks: d.operator.roundTasks,
       maxJobs: store.txnOps - 2,
       preemptAfterMs: 1500,
+      estimates: this.estimates,
+      aims: this.aims,
     });
     this.unplaced = result.unplaced;
     const now = d.clock.now();
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -2,7 +2,8 @@
 import type { MachineType } from '../protocol/cloud.js';
 import type { JobId, TaskIndex, TeamName, TypeName, ZoneName } from '../protocol/ids.js';
 import { priorityRank, type JobSpec } from '../protocol/jobs.js';
-import type { TeamLimits } from '../protocol/settings.js';
+import type { Settings, TeamLimits } from '../protocol/settings.js';
+import type { Estimates } from '../bookkeeping/estimates.js';
 import {
   teamUse,
   waitingTasks,
@@ -25,8 +26,33 @@
   readonly maxJobs: number;
   /** How long a job waits before running work is stopped for it. */
   readonly preemptAfterMs: number;
+  readonly estimates: Estimates;
+  readonly aims: StartAims;
 }
 
+/** How soon work should start, as the settings' objectives say. */
+export interface StartAims {
+  readonly byClass: ReadonlyMap<string, number>;
+  readonly guaranteeS: number | undefined;
+}
+
+export function startAims(objectives: Settings['objectives']): StartAims {
+  const byClass = new Map<string, number>();
+  let guaranteeS: number | undefined;
+  for (const o of objectives) {
+    if (o.withinS === undefined) continue;
+    if (o.kind === 'guarantee') guaranteeS = Math.min(o.withinS, guaranteeS ?? Infinity);
+    if (o.kind !== 'wait' || o.class === undefined) continue;
+    byClass.set(o.class, Math.min(o.withinS, byClass.get(o.class) ?? Infinity));
+  }
+  return { byClass, guaranteeS };
+}
+
+/** Without an aim, work may wait this long for room before other work is stopped for it. */
+const PATIENT_S = 15;
+/** Share of an aim's time that may pass in the hope of room that others give back. */
+const HOPE = 0.6;
+
 export interface PlannedTask {
   readonly job: Job;
   readonly index: TaskIndex;
@@ -161,6 +187,8 @@
   private readonly within: ReadonlySet<JobId>;
   private readonly jobsInRound = new Set<JobId>();
   private readonly strangers = new Set<string>();
+  private releases:
+    { readonly room: Room; readonly spec: JobSpec; readonly inS: number; taken: boolean }[] | undefined;
 
   constructor(private readonly s: Snapshot) {
     this.use = teamUse(s.world);
@@ -289,11 +317,14 @@
     for (const room of this.rooms) {
       if (room.reserved || !roomFor(room, job.spec) || !this.eligible(job, zones, room) || !also(room))
         continue;
+      const holds = this.holdsImage(room.machine, job);
+      const free = room.gpus + room.cpus / 1000;
       const score = [
         Number(job.spec.spot && room.machine.spot),
-        Number(this.holdsImage(room.machine, job)),
+        Number(holds),
         -room.type.gpus - room.type.cpus / 1000,
-        room.gpus + room.cpus / 1000,
+        // Among holders of the image the fullest: the emptier ones can then empty and be returned.
+        holds ? -free : free,
       ];
       if (!best || compare(score, bestScore) > 0) {
         best = room;
@@ -329,6 +360,57 @@
     return best?.rooms;
   }
 
+  /** Room that running tasks will give back by themselves, soonest first. */
+  private comingReleases(): NonNullable<RoundPlanner['releases']> {
+    if (this.releases) return this.releases;
+    this.releases = [];
+    for (const room of this.rooms) {
+      for (const p of room.machine.placements) {
+        const { spec } = p.job;
+        if (p.ended || p.stop || spec.kind === 'service' || p.runningSince === undefined) continue;
+        const inS = this.s.estimates.rest(spec, (this.s.now - p.runningSince) / 1000);
+        this.releases.push({ room, spec, inS, taken: false });
+      }
+    }
+    this.releases.sort((a, b) => a.inS - b.inS);
+    return this.releases;
+  }
+
+  /**
+   * How many of the job's tasks may simply wait for work that ends by itself. Stopping tasks that can't save
+   * throws away what they did; where several end each second, that buys next to nothing.
+   */
+  private servedByReleases(job: Job, count: number, zones: ReadonlyMap<ZoneName, number>): number {
+    const { spec } = job;
+    if (spec.kind === 'gang' && spec.tasks > 1) return 0;
+    const aims = [this.s.aims.byClass.get(spec.class)];
+    if (this.within.has(job.id)) aims.push(this.s.aims.guaranteeS);
+    const aim = Math.min(...aims.map((a) => a ?? Infinity));
+    const hope = HOPE * (aim === Infinity ? PATIENT_S / HOPE : aim);
+    const age = (this.s.now - job.acceptedAt) / 1000;
+    const patience = age < hope ? hope - age : hope;
+    let served = 0;
+    for (const r of this.comingReleases()) {
+      if (served >= count || r.inS > patience) break;
+      if (r.taken || !this.eligible(job, zones, r.room)) continue;
+      const { room } = r;
+      if (
+        !roomFor(
+          {
+            cpus: room.cpus + r.spec.cpus,
+            gpus: room.gpus + r.spec.gpus,
+            memoryGb: room.memoryGb + r.spec.memoryGb,
+          },
+          spec,
+        )
+      )
+        continue;
+      r.taken = true;
+      served++;
+    }
+    return served;
+  }
+
   /**
    * No machine has room: one is kept free of lower-ranked work for this job, and running work that may be
    * stopped for it is stopped, where the least is lost.
@@ -336,7 +418,8 @@
   private makeRoom(job: Job, count: number): void {
     const { spec } = job;
     const zones = zonesOf(job);
-    let wanted = Math.min(count, 64);
+    let wanted = Math.min(count - this.servedByReleases(job, count, zones), 64);
+    if (wanted <= 0) return;
     const candidates: { room: Room; stops: Placement[]; loss: number; waiting: boolean }[] = [];
     for (const room of this.rooms) {
       if (room.reserved || !this.eligible(job, zones, room) || !roomFor(room.type, spec)) continue;
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -11,6 +11,7 @@
   seal,
   unseal,
 } from '../src/bookkeeping/records.js';
+import { Estimates } from '../src/bookkeeping/estimates.js';
 import { World as Book, type Job, type Machine } from '../src/bookkeeping/world.js';
 import { planRound, type Snapshot } from '../src/coordination/planner.js';
 import { decode, decodeAs, encode } from '../src/protocol/codec.js';
@@ -225,6 +226,8 @@
     maxTasks: 100,
     maxJobs: 10,
     preemptAfterMs: 0,
+    estimates: new Estimates(),
+    aims: { byClass: new Map(), guaranteeS: undefined },
   };
   return { snapshot, jobs, machines };
 }
