Services beside services, and starts on machines that hold the image

Work with a start aim now stops younger work of lower priority on a warm machine when that loses less than the fetch takes. Ruled out: commit and order time (0.1 s).

--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -52,6 +52,8 @@
 const PATIENT_S = 15;
 /** Share of an aim's time that may pass in the hope of room that others give back. */
 const HOPE = 0.6;
+/** A fetch shorter than this is never worth stopping other work. */
+const WORTH_A_STOP_S = 3;
 
 export interface PlannedTask {
   readonly job: Job;
@@ -256,6 +258,11 @@
       if (!this.underLimit(spec, spec.tasks)) return put('team limit');
       if (!this.roundHasRoom(job, spec.tasks)) return put('round full');
       const chosen = this.placeGang(job, waiting);
+      if (chosen && spec.tasks === 1 && !this.holdsImage(chosen[0]!.machine, job)) {
+        this.occupy(chosen[0]!, spec, -1);
+        if (this.warmRoom(job, zonesOf(job))) return put('no room');
+        this.occupy(chosen[0]!, spec, 1);
+      }
       if (!chosen) {
         this.makeRoom(job, waiting.length);
         return put('no room');
@@ -273,6 +280,7 @@
         this.makeRoom(job, rest);
         return put('no room', rest);
       }
+      if (!this.holdsImage(room.machine, job) && this.warmRoom(job, zones)) continue;
       zones.set(room.machine.zone, (zones.get(room.machine.zone) ?? 0) + 1);
       this.accept(job, [waiting[k]!], [room]);
     }
@@ -323,7 +331,9 @@
         Number(job.spec.spot && room.machine.spot),
         Number(holds),
         -room.type.gpus - room.type.cpus / 1000,
-        // Among holders of the image the fullest: the emptier ones can then empty and be returned.
+        // Among holders of the image, services go where services are and all else to the fullest, so that
+        // the emptier machines can empty and be returned.
+        holds && job.spec.kind === 'service' ? servicesOn(room.machine) : 0,
         holds ? -free : free,
       ];
       if (!best || compare(score, bestScore) > 0) {
@@ -360,6 +370,57 @@
     return best?.rooms;
   }
 
+  /**
+   * There is room, but only where the image would have to be fetched first. On a machine that holds it, work
+   * of lower priority may stand in the way that loses less by being stopped than the fetch would take.
+   */
+  private warmRoom(job: Job, zones: ReadonlyMap<ZoneName, number>): boolean {
+    const { spec } = job;
+    if (!this.s.aims.byClass.has(spec.class)) return false;
+    let best: { room: Room; stops: Placement[]; loss: number } | undefined;
+    for (const room of this.rooms) {
+      if (room.reserved || !this.holdsImage(room.machine, job)) continue;
+      if (!this.eligible(job, zones, room) || !roomFor(room.type, spec)) continue;
+      const fetchS = spec.imageGb / Math.max(room.type.fetchGbPerS, 1e-3);
+      if (fetchS < WORTH_A_STOP_S) continue;
+      const free = { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb };
+      const give = (p: Placement): void => {
+        free.cpus += p.job.spec.cpus;
+        free.gpus += p.job.spec.gpus;
+        free.memoryGb += p.job.spec.memoryGb;
+      };
+      const placements = [...room.machine.placements].filter((p) => !p.ended);
+      for (const p of placements) if (p.stop) give(p);
+      const stops: Placement[] = [];
+      let loss = 0;
+      if (!roomFor(free, spec)) {
+        const victims = placements
+          .filter(
+            (p) =>
+              !p.stop &&
+              p.job.spec.tasks > 0 &&
+              priorityRank(p.job.spec.priority) > priorityRank(spec.priority),
+          )
+          .filter((p) => p.job.spec.kind === 'array')
+          .sort((a, b) => lossOf(a, this.s.now) - lossOf(b, this.s.now));
+        for (const p of victims) {
+          give(p);
+          stops.push(p);
+          loss += lossOf(p, this.s.now);
+          if (roomFor(free, spec)) break;
+        }
+      }
+      if (!roomFor(free, spec) || loss > fetchS * (spec.gpus + spec.cpus / 100)) continue;
+      if (!best || loss < best.loss) best = { room, stops, loss };
+    }
+    if (!best) return false;
+    best.room.reserved = true;
+    for (const placement of best.stops) {
+      this.stops.push({ placement, graceS: graceOf(placement.job.spec), forJob: job.id });
+    }
+    return true;
+  }
+
   /** Room that running tasks will give back by themselves, soonest first. */
   private comingReleases(): NonNullable<RoundPlanner['releases']> {
     if (this.releases) return this.releases;
@@ -447,7 +508,15 @@
       }
       if (roomFor(free, spec)) candidates.push({ room, stops, loss, waiting: false });
     }
-    candidates.sort((a, b) => Number(b.waiting) - Number(a.waiting) || a.loss - b.loss);
+    const warm = (c: { room: Room }): number => Number(this.holdsImage(c.room.machine, job));
+    const beside = (c: { room: Room }): number => (spec.kind === 'service' ? servicesOn(c.room.machine) : 0);
+    candidates.sort(
+      (a, b) =>
+        Number(b.waiting) - Number(a.waiting) ||
+        warm(b) - warm(a) ||
+        beside(b) - beside(a) ||
+        a.loss - b.loss,
+    );
     // One zone for all: only rooms of the zone that can take most of them help.
     const zone = spec.oneZone ? mostCommon(candidates.map((c) => c.room.machine.zone)) : undefined;
     const patient = this.s.now - job.acceptedAt < this.s.preemptAfterMs;
@@ -464,6 +533,12 @@
   }
 }
 
+const servicesOn = (m: Machine): number => {
+  let n = 0;
+  for (const p of m.placements) if (!p.ended && p.job.spec.kind === 'service') n++;
+  return n;
+};
+
 function mostCommon<T>(values: readonly T[]): T | undefined {
   const counts = new Map<T, number>();
   for (const v of values) counts.set(v, (counts.get(v) ?? 0) + 1);
