--- /dev/null
+++ b/src/coordination/client.ts
@@ -0,0 +1,80 @@
+import { netHttpClient } from '../transport/http-client.js';
+import type { Reply } from '../transport/http.js';
+import { err, ok, type Result } from '../transport/result.js';
+import { decode, decodeAs, encode, parse } from '../protocol/codec.js';
+import { jobAnswer, submission } from '../protocol/jobs.js';
+import { CONTENT_TYPE, F, Paths } from '../protocol/wire.js';
+import { OPS } from './controller.js';
+
+/** The command line's side of the users' protocol. */
+const http = netHttpClient(2, CONTENT_TYPE);
+
+async function ask(
+  address: string,
+  method: string,
+  path: string,
+  body?: Uint8Array,
+): Promise<Result<Reply, string>> {
+  if (!/^[0-9A-Za-z.]+:[0-9]+$/.test(address)) return err(`'${address}' is not host:port`);
+  const reply = await http.call(address, method, path, body, 5000);
+  return reply.ok ? ok(reply.value) : err(`${address}: ${reply.error.why}`);
+}
+
+function answerOf(reply: Result<Reply, string>): Result<string, string> {
+  if (!reply.ok) return reply;
+  const { status, body } = reply.value;
+  if (status === 200 || status === 201) {
+    const answer = decodeAs(jobAnswer, body);
+    if (!answer.ok) return err(`garbled answer: ${answer.error}`);
+    const { id, state, done, running } = answer.value;
+    const counts = done === undefined ? '' : `, ${done} done, ${running ?? 0} running`;
+    return ok(`${id}: ${state}${counts}`);
+  }
+  const data = body ? decode(body) : undefined;
+  const text = data?.ok ? (data.value as Record<string, unknown> | null)?.[F.error] : undefined;
+  return err(`refused with ${status}${typeof text === 'string' ? `: ${text}` : ''}`);
+}
+
+export async function submitJob(
+  address: string,
+  file: string,
+  text: string,
+): Promise<Result<string, string>> {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (e) {
+    return err(`${file}: not JSON: ${(e as Error).message}`);
+  }
+  const spec = parse(submission, value);
+  if (!spec.ok) return err(`${file}: ${spec.error}`);
+  return answerOf(await ask(address, 'POST', Paths.jobs, encode(value)));
+}
+
+export const showJob = async (address: string, id: string): Promise<Result<string, string>> =>
+  answerOf(await ask(address, 'GET', Paths.job.replace(':id', encodeURIComponent(id))));
+
+export const cancelJob = async (address: string, id: string): Promise<Result<string, string>> =>
+  answerOf(await ask(address, 'POST', Paths.cancel.replace(':id', encodeURIComponent(id)), new Uint8Array()));
+
+/** Follows once to the holder of the term, who alone knows why a job waits. */
+export async function explainRemote(
+  address: string,
+  id: string,
+  follow = true,
+): Promise<Result<string, string>> {
+  const reply = await ask(address, 'GET', OPS.explain.replace(':id', encodeURIComponent(id)));
+  if (!reply.ok) return reply;
+  try {
+    const said = JSON.parse(Buffer.from(reply.value.body ?? []).toString()) as {
+      lines: string[];
+      holder?: string | null;
+      address?: string | null;
+    };
+    if (said.lines.length > 0) return ok(said.lines.join('\n'));
+    if (follow && said.address) return await explainRemote(said.address, id, false);
+    return err('no controller holds the term just now');
+  } catch {
+    return err('garbled answer');
+  }
+}
--- a/src/coordination/command.ts
+++ b/src/coordination/command.ts
@@ -1,4 +1,5 @@
 import { plus, type Clock, type SteadyMs } from '../transport/clock.js';
+import type { Metrics } from '../transport/metrics.js';
 import type { Log } from '../transport/log.js';
 import type { Term } from '../protocol/ids.js';
 import type { Command, Report, ReportedTask } from '../protocol/workers.js';
@@ -11,6 +12,7 @@
   readonly log: Log;
   readonly term: Term;
   readonly estimates: Estimates;
+  readonly metrics: Metrics;
   /** Starts follow a receipt, but only while this node surely holds the term. */
   readonly mayStart: () => boolean;
   readonly wake: () => void;
@@ -153,6 +155,7 @@
     p.state = task.state;
     if (task.state !== 'fetching') noteImage(machine, p.job);
     if (task.state === 'running') {
+      if (p.runningSince === undefined) ctx.metrics.timeMs('accepted-to-running', now - p.job.acceptedAt);
       p.runningSince ??= now;
       ctx.log.debug('task-running', { task: `${p.job.id}/${p.index}`, machine: machine.id });
     }
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -2,10 +2,11 @@
 import { DRIFT, sleep, type Clock } from '../transport/clock.js';
 import type { HttpClient, Reply, Route } from '../transport/http.js';
 import type { Log } from '../transport/log.js';
+import type { Metrics } from '../transport/metrics.js';
 import type { Mesh } from '../transport/mesh.js';
 import type { Random } from '../transport/random.js';
 import { decodeAs } from '../protocol/codec.js';
-import type { JobId, MemberName, TeamName } from '../protocol/ids.js';
+import { JOB_ID, type JobId, type MemberName, type TeamName } from '../protocol/ids.js';
 import { encodeError } from '../protocol/jobs.js';
 import type { Operator } from '../protocol/operator.js';
 import type { Settings, TeamLimits } from '../protocol/settings.js';
@@ -14,6 +15,7 @@
 import { Cloud } from '../bookkeeping/cloud.js';
 import { Mirror } from '../bookkeeping/mirror.js';
 import { Store } from '../bookkeeping/store.js';
+import { explainJob } from './explain.js';
 import { Holder } from './holder.js';
 import { Peers } from './peers.js';
 import { TermKeeper } from './term.js';
@@ -28,12 +30,22 @@
   readonly log: Log;
   readonly http: HttpClient;
   readonly mesh: Mesh;
+  readonly metrics: Metrics;
   /** Differs from one life of the process to the next. */
   readonly incarnation: number;
 }
 
 const SYNC_MS = 1000;
 
+/** The operators' own paths; users' paths are the protocol's. */
+export const OPS = { explain: '/ops/explain/:id', metrics: '/ops/metrics' } as const;
+
+const json = (status: number, value: unknown): Reply => ({
+  status,
+  body: Buffer.from(`${JSON.stringify(value)}\n`),
+  headers: { 'content-type': 'application/json' },
+});
+
 /** One controller node: every part of it, wired. */
 export class Controller {
   readonly term: TermKeeper;
@@ -123,6 +135,7 @@
           types: this.types,
           settings,
           operator,
+          metrics: d.metrics,
           cloud: this.cloud,
           http: d.http,
           teams: this.teams,
@@ -183,7 +196,19 @@
 
   private buildRoutes(): Route[] {
     return [
-      { method: 'POST', path: Paths.jobs, handle: (_, body) => this.users.submit(body) },
+      {
+        method: 'POST',
+        path: Paths.jobs,
+        handle: async (_, body) => {
+          const from = this.d.clock.now();
+          const reply = await this.users.submit(body);
+          this.d.metrics.timeMs('submit', this.d.clock.now() - from);
+          this.d.metrics.count(`submit-${reply.status}`);
+          return reply;
+        },
+      },
+      { method: 'GET', path: OPS.explain, handle: (params) => this.explain(params['id'] ?? '') },
+      { method: 'GET', path: OPS.metrics, handle: () => json(200, this.d.metrics.snapshot()) },
       { method: 'GET', path: Paths.job, handle: (params) => this.users.show(params['id'] ?? '') },
       { method: 'POST', path: Paths.cancel, handle: (params) => this.users.cancel(params['id'] ?? '') },
       { method: 'GET', path: Paths.health, handle: () => this.health() },
@@ -191,6 +216,36 @@
     ];
   }
 
+  private async explain(id: string): Promise<Reply> {
+    if (!JOB_ID.test(id)) return json(404, { job: id, lines: ['No job has such an id.'] });
+    const { holder } = this;
+    if (!holder?.world) {
+      const known = this.term.known;
+      return json(200, { job: id, holder: known.holder ?? null, address: known.address ?? null, lines: [] });
+    }
+    const lines = explainJob(
+      {
+        clock: this.d.clock,
+        world: holder.world,
+        unplaced: holder.unplaced,
+        types: this.types.all(),
+        teams: this.teams,
+        storeOk: this.storeOk(),
+        refusedUntil: holder.fleet?.refusedUntil ?? new Map(),
+      },
+      id as JobId,
+    );
+    if (lines) return json(200, { job: id, lines });
+    const state = await this.users.show(id);
+    const text =
+      state.status === 200
+        ? 'It is over.'
+        : state.status === 404
+          ? 'It was never accepted.'
+          : 'The state service is unavailable.';
+    return json(200, { job: id, lines: [text] });
+  }
+
   private health(): Reply {
     const ready = this.types.known() && this.mirror.loaded;
     // Cut off alone, users are better served elsewhere. When everybody is, being taken out of the balance
--- /dev/null
+++ b/src/coordination/explain.ts
@@ -0,0 +1,93 @@
+import type { Clock, SteadyMs } from '../transport/clock.js';
+import type { JobId, TeamName, TypeName } from '../protocol/ids.js';
+import type { MachineType } from '../protocol/cloud.js';
+import type { TeamLimits } from '../protocol/settings.js';
+import { teamUse, type Job, type World } from '../bookkeeping/world.js';
+import { fitsType, type Unplaced } from './planner.js';
+
+export interface ExplainContext {
+  readonly clock: Clock;
+  readonly world: World;
+  readonly unplaced: readonly Unplaced[];
+  readonly types: ReadonlyMap<TypeName, MachineType>;
+  readonly teams: ReadonlyMap<TeamName, TeamLimits>;
+  readonly storeOk: boolean;
+  readonly refusedUntil: ReadonlyMap<string, SteadyMs>;
+}
+
+/** Why a job waits, in plain words; undefined when the holder doesn't know the job. */
+export function explainJob(ctx: ExplainContext, id: JobId): string[] | undefined {
+  const job = ctx.world.jobs.get(id);
+  if (!job) return undefined;
+  const lines = [tally(job)];
+  if (!ctx.storeOk)
+    lines.push('The state service is unavailable: nothing new can be committed until it answers.');
+  if (job.cancelledAt !== undefined) {
+    lines.push('It was cancelled; its tasks are being stopped.');
+    return lines;
+  }
+  for (const p of job.placements.values()) {
+    if (p.state === undefined && !p.ended) {
+      lines.push(`Task ${p.index} was committed to ${p.machine.id}, which hasn't reported it yet.`);
+      break;
+    }
+  }
+  for (const u of ctx.unplaced) if (u.job === job) lines.push(...reasonOf(ctx, job, u));
+  return lines;
+}
+
+function tally(job: Job): string {
+  let running = 0;
+  let fetching = 0;
+  let other = 0;
+  for (const p of job.placements.values()) {
+    if (p.ended) continue;
+    if (p.state === 'running') running++;
+    else if (p.state === 'fetching') fetching++;
+    else other++;
+  }
+  const waiting = job.spec.tasks - job.done.count - job.placements.size;
+  return (
+    `${job.spec.tasks} tasks: ${job.done.count} done, ${running} running, ${fetching} fetching their image, ` +
+    `${other} starting or stopping, ${waiting} waiting.`
+  );
+}
+
+function reasonOf(ctx: ExplainContext, job: Job, u: Unplaced): string[] {
+  const tasks = u.count === 1 ? '1 task waits' : `${u.count} tasks wait`;
+  const now = ctx.clock.now();
+  switch (u.reason) {
+    case 'team limit': {
+      const use = teamUse(ctx.world).get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+      const team = ctx.teams.get(job.spec.team);
+      return [
+        `${tasks} for the limit of team ${job.spec.team}, which uses ${use.gpus} of ${team?.gpusMax || 'unlimited'} ` +
+          `GPUs and ${use.cpus} of ${team?.cpusMax || 'unlimited'} CPUs.`,
+      ];
+    }
+    case 'backing off':
+      return [
+        `${tasks} because its tasks failed ${job.errors} times; next try in ${seconds(job.notBefore - now)}.`,
+      ];
+    case 'old attempt not gone': {
+      const machines = [...new Set([...job.placements.values()].map((p) => p.machine.id))].slice(0, 5);
+      return [`${tasks} until the earlier attempt is surely gone from ${machines.join(', ')}.`];
+    }
+    case 'round full':
+      return [`${tasks} for the next round: the last one was full.`];
+    case 'no room': {
+      const booting = [...ctx.world.machines.values()].filter((m) => {
+        const type = ctx.types.get(m.type);
+        return m.state === 'booting' && type && fitsType(job.spec, type) && (job.spec.spot || !m.spot);
+      }).length;
+      const refused = [...ctx.refusedUntil].filter(([, until]) => until > now).map(([kind]) => kind);
+      return [
+        `${tasks} for room on a machine that may run it.`,
+        ...(booting > 0 ? [`${booting} machines that fit are booting.`] : []),
+        ...(refused.length > 0 ? [`The cloud has no capacity just now for ${refused.join(', ')}.`] : []),
+      ];
+    }
+  }
+}
+
+const seconds = (ms: number): string => `${Math.max(0, Math.round(ms / 1000))} s`;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -41,7 +41,7 @@
 /** Rents for work that waits, returns what idles, and fences what can't be reached by returning it. */
 export class Fleet {
   private hires = 0;
-  private readonly refusedUntil = new Map<string, SteadyMs>();
+  readonly refusedUntil = new Map<string, SteadyMs>();
   private readonly refusals = new Map<string, number>();
   private readonly pending = new Set<Hire>();
   private readonly returning = new Set<MachineId>();
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -1,6 +1,7 @@
 import { Rank } from '../transport/budget.js';
 import { sleep, type Clock, type SteadyMs } from '../transport/clock.js';
 import type { Log } from '../transport/log.js';
+import type { Metrics } from '../transport/metrics.js';
 import { jitter, type Random } from '../transport/random.js';
 import { decodeAs } from '../protocol/codec.js';
 import type { Address, Attempt, JobId, Mark } from '../protocol/ids.js';
@@ -41,6 +42,7 @@
   readonly types: TypeBook;
   readonly settings: Settings;
   readonly operator: Operator;
+  readonly metrics: Metrics;
 }
 
 /** How long the worker may take over a direct command; its answer usually takes milliseconds. */
@@ -53,7 +55,7 @@
   private dirty = true;
   private wakeUp: (() => void) | undefined;
   private round = 0;
-  private fleet: Fleet | undefined;
+  fleet: Fleet | undefined;
   unplaced: readonly Unplaced[] = [];
   private readonly estimates = new Estimates();
   private readonly aims: StartAims;
@@ -169,6 +171,7 @@
       log: d.log,
       term: this.held.term,
       estimates: this.estimates,
+      metrics: d.metrics,
       mayStart: () => d.term.canDecide(),
       wake: () => this.wake(),
     };
@@ -310,6 +313,7 @@
     }
     const sessions = new Map(taken.map((t) => [t.machine, t.machine.session]));
     for (const m of sessions.keys()) m.rounds++;
+    const sent = d.clock.now();
     const outcome = await d.store.txn(
       [
         { key: Keys.holder, mark: this.held.mark },
@@ -340,6 +344,7 @@
     if (outcome.value.kind === 'conflict') return this.conflict(outcome.value.failed, id);
     const mark = outcome.value.revision as unknown as Mark;
     const now = d.clock.now();
+    d.metrics.timeMs('round-commit', now - sent);
     world.plans.set(id, { id, open: taken.length, returned: new Map(), hasRevision: false });
     for (const job of jobs) {
       job.everStarted = true;
--- a/src/main.ts
+++ b/src/main.ts
@@ -6,6 +6,7 @@
 import { netHttpClient } from './transport/http-client.js';
 import { serveHttp } from './transport/http-server.js';
 import { stderrLog } from './transport/log.js';
+import { Metrics } from './transport/metrics.js';
 import { netMesh } from './transport/mesh.js';
 import { seededRandom } from './transport/random.js';
 import type { Result } from './transport/result.js';
@@ -13,6 +14,7 @@
 import { defaultOperator, parseOperator, type Operator } from './protocol/operator.js';
 import { parseSettings, type Settings } from './protocol/settings.js';
 import { CONTENT_TYPE } from './protocol/wire.js';
+import { cancelJob, explainRemote, showJob, submitJob } from './coordination/client.js';
 import { Controller } from './coordination/controller.js';
 
 const VERSION = '0.1.0';
@@ -54,7 +56,8 @@
 
 async function serve(config: string, operatorPath: string | undefined): Promise<void> {
   const { settings, operator } = loadAll(config, operatorPath);
-  const log = stderrLog(process.env['LOG_LEVEL'], settings.member);
+  const metrics = new Metrics();
+  const log = metrics.counting(stderrLog(process.env['LOG_LEVEL'], settings.member));
   // One life's fault must be read in the log; the platform starts the next.
   process.on('uncaughtException', (e) => {
     log.error('uncaught', { why: e.stack ?? e.message });
@@ -68,6 +71,7 @@
     clock: systemClock,
     random: seededRandom(incarnation),
     log,
+    metrics,
     http: netHttpClient(32, CONTENT_TYPE),
     mesh: netMesh(settings.meshListen, peers, systemClock),
     incarnation,
@@ -106,6 +110,36 @@
     process.stdout.write('settings are good\n');
   });
 
+const job = program.command('job').description('deal with jobs as a user, against a running controller');
+const at = ['--at <address>', 'a controller, host:port', '127.0.0.1:8080'] as const;
+
+job
+  .command('submit <file>')
+  .description("submit a job written as JSON in the protocol's fields")
+  .option(...at)
+  .action((file: string, o: { at: string }) => submitJob(o.at, file, read(file)).then(report));
+job
+  .command('show <id>')
+  .description('print the state of a job')
+  .option(...at)
+  .action((id: string, o: { at: string }) => showJob(o.at, id).then(report));
+job
+  .command('cancel <id>')
+  .description('cancel a job')
+  .option(...at)
+  .action((id: string, o: { at: string }) => cancelJob(o.at, id).then(report));
+job
+  .command('explain <id>')
+  .description('say in plain words why a job waits')
+  .option(...at)
+  .action((id: string, o: { at: string }) => explainRemote(o.at, id).then(report));
+
+function report(result: Result<string, string>): void {
+  if (!result.ok) fail(EXIT.remote, [result.error]);
+  process.stdout.write(`${result.value}\n`);
+  process.exit(0);
+}
+
 try {
   await program.parseAsync();
 } catch (e) {
--- /dev/null
+++ b/src/transport/metrics.ts
@@ -0,0 +1,55 @@
+import { build, type Histogram } from 'hdr-histogram-js';
+import type { Log } from './log.js';
+
+/** Counters and latency histograms for operators. */
+export class Metrics {
+  private readonly counters = new Map<string, number>();
+  private readonly histograms = new Map<string, Histogram>();
+
+  count(name: string, by = 1): void {
+    this.counters.set(name, (this.counters.get(name) ?? 0) + by);
+  }
+
+  timeMs(name: string, ms: number): void {
+    let histogram = this.histograms.get(name);
+    if (!histogram) {
+      // Two digits and half an hour are enough, and keep a histogram at some kilobytes.
+      histogram = build({
+        bitBucketSize: 32,
+        numberOfSignificantValueDigits: 2,
+        highestTrackableValue: 1_800_000,
+      });
+      this.histograms.set(name, histogram);
+    }
+    histogram.recordValue(Math.max(1, Math.min(1_800_000, Math.round(ms))));
+  }
+
+  snapshot(): Record<string, unknown> {
+    const latencies: Record<string, unknown> = {};
+    for (const [name, h] of this.histograms) {
+      latencies[name] = {
+        count: h.totalCount,
+        p50: h.getValueAtPercentile(50),
+        p95: h.getValueAtPercentile(95),
+        p99: h.getValueAtPercentile(99),
+        max: h.maxValue,
+      };
+    }
+    return { counters: Object.fromEntries([...this.counters].sort()), latenciesMs: latencies };
+  }
+
+  /** Every decision is a log line, so counting lines counts decisions, at any log level. */
+  counting(log: Log): Log {
+    return {
+      error: (event, fields) => {
+        this.count(event);
+        log.error(event, fields);
+      },
+      info: (event, fields) => {
+        this.count(event);
+        log.info(event, fields);
+      },
+      debug: (event, fields) => log.debug(event, fields),
+    };
+  }
+}
--- a/test/standin/universe.ts
+++ b/test/standin/universe.ts
@@ -8,6 +8,7 @@
 import { Paths } from '../../src/protocol/wire.js';
 import type { HttpClient, Reply, Route } from '../../src/transport/http.js';
 import { silentLog, type Log } from '../../src/transport/log.js';
+import { Metrics } from '../../src/transport/metrics.js';
 import { seededRandom, type Random } from '../../src/transport/random.js';
 import { ProcessClock, World } from './clock.js';
 import { StandInCloud } from './cloud.js';
@@ -137,6 +138,7 @@
       clock,
       random: seededRandom(this.o.seed * 31 + life * 7 + Number(member.slice(1))),
       log: this.log(member),
+      metrics: new Metrics(),
       http: this.net.client(member, alive),
       mesh: this.net.mesh(member),
       incarnation: 1 + life * 1000 + Number(member.slice(1)),
