--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -124,10 +124,14 @@
   return within;
 }
 
-/** Guarantees first, then priority, then age. */
+/**
+ * Production work first, whatever its team is owed: a missing replica is an outage, and replicas are small
+ * beside the rest. Then guarantees, then priority, then age.
+ */
 export function jobOrder(jobs: Iterable<Job>, within: ReadonlySet<JobId>): Job[] {
   return [...jobs].sort(
     (a, b) =>
+      Number(isProduction(b)) - Number(isProduction(a)) ||
       Number(within.has(b.id)) - Number(within.has(a.id)) ||
       priorityRank(a.spec.priority) - priorityRank(b.spec.priority) ||
       a.row.acceptedAt - b.row.acceptedAt ||
@@ -135,6 +139,8 @@
   );
 }
 
+const isProduction = (job: Job): boolean => job.spec.priority === 'production';
+
 export const usable = (m: Machine, s: Snapshot): boolean =>
   m.state === 'up' &&
   m.trusted &&
@@ -166,9 +172,19 @@
   return true;
 }
 
-/** A placement may be stopped for a job: lower priority, or borrowed room claimed by a guarantee. */
-function preemptible(p: Placement, job: Job, within: ReadonlySet<JobId>): boolean {
+/**
+ * A placement may be stopped for a job: lower priority, or borrowed room claimed by a guarantee. Only for a
+ * job that the order puts before it: else the stopped task, being first in the next round, takes the room
+ * again, and both go round for ever (seen: a thousand starts lost in one day).
+ */
+function preemptible(
+  p: Placement,
+  job: Job,
+  within: ReadonlySet<JobId>,
+  order: ReadonlyMap<JobId, number>,
+): boolean {
   if (p.ended || p.job.id === job.id) return false;
+  if ((order.get(p.job.id) ?? Infinity) < (order.get(job.id) ?? -1)) return false;
   if (priorityRank(p.job.spec.priority) > priorityRank(job.spec.priority)) return true;
   return within.has(job.id) && !within.has(p.job.id) && p.job.spec.team !== job.spec.team;
 }
@@ -188,6 +204,7 @@
   private readonly use: Map<TeamName, Use>;
   private readonly within: ReadonlySet<JobId>;
   private readonly jobsInRound = new Set<JobId>();
+  private readonly order = new Map<JobId, number>();
   private readonly strangers = new Set<string>();
   private releases:
     { readonly room: Room; readonly spec: JobSpec; readonly inS: number; taken: boolean }[] | undefined;
@@ -236,7 +253,9 @@
   }
 
   run(): RoundPlan {
-    for (const job of jobOrder(this.s.world.jobs.values(), this.within)) {
+    const jobs = jobOrder(this.s.world.jobs.values(), this.within);
+    jobs.forEach((job, i) => this.order.set(job.id, i));
+    for (const job of jobs) {
       if (job.cancelledAt === undefined) this.planJob(job);
     }
     return { tasks: this.tasks, stops: this.stops, unplaced: this.unplaced };
@@ -395,13 +414,9 @@
       let loss = 0;
       if (!roomFor(free, spec)) {
         const victims = placements
-          .filter(
-            (p) =>
-              !p.stop &&
-              p.job.spec.tasks > 0 &&
-              priorityRank(p.job.spec.priority) > priorityRank(spec.priority),
-          )
-          .filter((p) => p.job.spec.kind === 'array')
+          .filter((p) => !p.stop && p.job.spec.kind === 'array')
+          .filter((p) => priorityRank(p.job.spec.priority) > priorityRank(spec.priority))
+          .filter((p) => preemptible(p, job, this.within, this.order))
           .sort((a, b) => lossOf(a, this.s.now) - lossOf(b, this.s.now));
         for (const p of victims) {
           give(p);
@@ -467,6 +482,8 @@
       )
         continue;
       r.taken = true;
+      // What is free beside it is part of the hope, so nobody else may take that meanwhile.
+      if (!roomFor(r.spec, spec)) room.reserved = true;
       served++;
     }
     return served;
@@ -496,7 +513,7 @@
         continue;
       }
       const victims = [...room.machine.placements]
-        .filter((p) => !p.stop && preemptible(p, job, this.within))
+        .filter((p) => !p.stop && preemptible(p, job, this.within, this.order))
         .sort((a, b) => lossOf(a, this.s.now) - lossOf(b, this.s.now));
       const stops: Placement[] = [];
       let loss = 0;
