A machine that is up counts as room before it is heard, and a rented one is used at once

A machine rented under this very term can't have been sent anything by an older holder, so its first report is enough.

--- a/src/bookkeeping/world.ts
+++ b/src/bookkeeping/world.ts
@@ -80,8 +80,12 @@
   seq: Seq;
   /** Its newest report carried this term's token: nothing an older holder sent can still run. */
   trusted: boolean;
+  /** Rented under this term: no older holder can have sent it anything. */
+  own: boolean;
   lastReport: SteadyMs | undefined;
   readonly firstKnown: SteadyMs;
+  /** Since when it should be reporting. */
+  upSince: SteadyMs;
   readonly rentedAt: SteadyMs;
   listed: boolean;
   noticeAt: SteadyMs | undefined;
@@ -159,8 +163,10 @@
       session: 0n as Session,
       seq: 0n as Seq,
       trusted: false,
+      own: false,
       lastReport: undefined,
       firstKnown: now,
+      upSince: now,
       rentedAt,
       listed: false,
       noticeAt: undefined,
--- a/src/coordination/command.ts
+++ b/src/coordination/command.ts
@@ -34,13 +34,17 @@
   }
   if (r.session > machine.session) newSession(ctx, machine, r, now);
   const before = machine.seq;
+  const first = machine.lastReport === undefined;
   machine.seq = r.seq;
   machine.lastReport = now;
   machine.address = r.address;
   machine.probedAt = undefined;
   if (machine.state === 'booting') {
     machine.state = 'up';
+    machine.upSince = now;
     machine.idleSince = now;
+  }
+  if (first) {
     log.info('machine-up', {
       machine: machine.id,
       type: machine.type,
@@ -56,7 +60,7 @@
   }
   // Only a report that was made after the worker took this term's token shows all that an older holder's
   // answers may have started: from then on the worker drops them.
-  const trusted = r.token >= ctx.term;
+  const trusted = r.token >= ctx.term || machine.own;
   if (trusted && !machine.trusted) {
     machine.trusted = true;
     ctx.wake();
@@ -211,7 +215,7 @@
     ctx.wake();
     return;
   }
-  if (!ctx.mayStart() || !reportedBefore) return;
+  if (!ctx.mayStart() || !(reportedBefore || p.machine.own)) return;
   if (p.sentSeq !== undefined)
     ctx.log.info('start-again', { task: `${p.job.id}/${p.index}`, machine: p.machine.id });
   p.sentSeq = r.seq;
--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet-planner.ts
@@ -44,6 +44,8 @@
 /** Past this multiple of the nominal boot time a machine isn't counted on any more; past the other it is returned. */
 const LATE_BOOT = 1.8;
 export const LOST_BOOT = 4;
+/** A machine that is up is given so long to report under a new term before others are rented in its place. */
+const UNHEARD_MS = 10_000;
 /** How long an idle machine is kept, in nominal boot times. */
 const IDLE_BOOTS = 0.3;
 
@@ -165,9 +167,21 @@
   for (const m of s.world.machines.values()) {
     count(m.type, m.zone, 1);
     const type = s.types.get(m.type);
-    if (type && m.state === 'booting' && (s.now - m.rentedAt) / 1000 < LATE_BOOT * type.bootS) {
+    if (!type) continue;
+    if (m.state === 'booting' && (s.now - m.rentedAt) / 1000 < LATE_BOOT * type.bootS) {
       virtual.push(empty(type, m.zone, m.spot));
     }
+    // Up, but not heard under this term yet: its room is there in a moment, after a take-over above all.
+    if (m.state === 'up' && !m.trusted && s.now - Math.max(m.lastReport ?? 0, m.upSince) < UNHEARD_MS) {
+      const v = empty(type, m.zone, m.spot);
+      for (const p of m.placements) {
+        if (p.ended) continue;
+        v.cpus -= p.job.spec.cpus;
+        v.gpus -= p.job.spec.gpus;
+        v.memoryGb -= p.job.spec.memoryGb;
+      }
+      virtual.push(v);
+    }
   }
   for (const p of s.pending) {
     const type = s.types.get(p.type);
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -149,7 +149,9 @@
       if (result.ok) {
         const now = d.clock.now();
         for (const id of result.value) {
-          if (!world.machines.has(id)) world.addMachine(id, hire.type, hire.zone, hire.spot, now, asked);
+          const known = world.machines.get(id);
+          const m = known ?? world.addMachine(id, hire.type, hire.zone, hire.spot, now, asked);
+          m.own = true;
         }
         if (result.value.length < hire.count) this.refuse(key);
         else this.refusals.delete(key);
@@ -288,6 +290,12 @@
       }
       m.listed = true;
       if (m.address === undefined) m.address = l.address;
+      if (l.state === 'running' && m.state === 'booting') {
+        // Up, but not heard yet: its room counts as coming, and it is due to report from now on.
+        m.state = 'up';
+        m.upSince = now;
+        m.idleSince = now;
+      }
       if (l.state === 'failed') {
         // Stopped on its own: nothing runs there any more.
         failed.push(l.id);
@@ -352,7 +360,7 @@
         ? d.operator.silentFenceS * 1000
         : Math.max(4 * d.settings.workers.reportS * 1000, 8000);
     const up = [...world.machines.values()].filter((m) => m.state === 'up');
-    const quiet = (m: Machine): number => now - Math.max(m.lastReport ?? 0, m.firstKnown, this.since);
+    const quiet = (m: Machine): number => now - Math.max(m.lastReport ?? 0, m.upSince, this.since);
     const silent = up.filter((m) => quiet(m) > fence);
     // Many at once point at this node's own network: then only those past their lease are given up.
     const many = silent.length > 2 && silent.length * 3 > up.length;
