--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -52,8 +52,6 @@
 const PATIENT_S = 15;
 /** Share of an aim's time that may pass in the hope of room that others give back. */
 const HOPE = 0.6;
-/** More of it where arrays take from arrays: what is stopped then is as dear as what starts. */
-const HOPE_OF_GUARANTEE = 0.85;
 /** A fetch shorter than this is never worth stopping other work. */
 const WORTH_A_STOP_S = 3;
 
@@ -461,9 +459,10 @@
   private servedByReleases(job: Job, count: number, zones: ReadonlyMap<ZoneName, number>): number {
     const { spec } = job;
     if (spec.kind === 'gang' && spec.tasks > 1) return 0;
-    const startS = this.s.aims.byClass.get(spec.class) ?? Infinity;
-    const owedS = (this.within.has(job.id) ? this.s.aims.guaranteeS : undefined) ?? Infinity;
-    const hope = Math.min(startS * HOPE, owedS * HOPE_OF_GUARANTEE, PATIENT_S);
+    const aims = [this.s.aims.byClass.get(spec.class)];
+    if (this.within.has(job.id)) aims.push(this.s.aims.guaranteeS);
+    const aim = Math.min(...aims.map((a) => a ?? Infinity));
+    const hope = HOPE * (aim === Infinity ? PATIENT_S / HOPE : aim);
     const age = (this.s.now - job.acceptedAt) / 1000;
     const patience = age < hope ? hope - age : hope;
     let served = 0;
