A holder whose process is gone loses the term after two refused beats

Taking the term is safe at any time, since the fence decides. Also: a node that the store refuses says so after two refusals, so that the balancer turns to others sooner.

--- a/src/bookkeeping/store.ts
+++ b/src/bookkeeping/store.ts
@@ -46,6 +46,8 @@
 export class Store {
   /** When the service last answered anything but a refusal; sent time, so never too new. */
   lastContact: SteadyMs;
+  /** Calls that brought nothing since then. */
+  failures = 0;
 
   constructor(
     private readonly http: HttpClient,
@@ -79,6 +81,7 @@
     const sent = this.clock.now();
     const reply = await this.http.call(this.address, method, path, body, deadline);
     if (!reply.ok) {
+      this.failures++;
       this.log.debug('store-call-failed', { path, why: reply.error.why });
       return err({ kind: reply.error.kind === 'refused' ? 'unavailable' : 'unknown', why: reply.error.why });
     }
@@ -87,10 +90,12 @@
       this.requests.refused();
       if (writes > 0) this.writes.refused();
     }
+    if (status === 503) this.failures++;
     if (status === 429 || status === 503) {
       this.log.debug('store-refused', { path, status });
       return err({ kind: 'unavailable', why: `status ${status}` });
     }
+    this.failures = 0;
     if (sent > this.lastContact) this.lastContact = sent;
     return ok(reply.value);
   }
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -151,6 +151,7 @@
     };
     this.peers.onTerm = (known) => this.term.hear(known);
     this.peers.onCancelled = (id) => this.holder?.heardCancelled(id);
+    this.peers.onDown = (member) => void this.term.usurp(member);
     this.routes = this.buildRoutes();
   }
 
@@ -183,7 +184,10 @@
   }
 
   private storeOk(): boolean {
-    return this.d.clock.now() - this.store.lastContact < 3500;
+    const { store } = this;
+    const silentMs = this.d.clock.now() - store.lastContact;
+    // Refusals come at once, so two in a row say more than a long silence.
+    return store.failures >= 2 ? silentMs < 800 : silentMs < 3500;
   }
 
   private countsOf(id: JobId): { done: number; running: number } | undefined {
--- a/src/coordination/peers.ts
+++ b/src/coordination/peers.ts
@@ -19,6 +19,7 @@
   /** Incarnation at the last time this node had the store's own word. */
   anchored: number;
   storeOk: boolean;
+  refusals: number;
   readonly sent: Map<number, SteadyMs>;
 }
 
@@ -36,6 +37,8 @@
   private pings = 0;
   onTerm: (known: KnownTerm) => void = () => undefined;
   onCancelled: (id: JobId) => void = () => undefined;
+  /** A peer that was heard in this life refuses connections, and has said nothing for a while. */
+  onDown: (member: MemberName) => void = () => undefined;
 
   constructor(
     private readonly mesh: Mesh,
@@ -55,9 +58,11 @@
       after: 0,
       anchored: -1,
       storeOk: false,
+      refusals: 0,
       sent: new Map(),
     }));
     mesh.onFrame((frame) => this.receive(frame));
+    mesh.onRefused((member) => this.refused(member));
   }
 
   start(): void {
@@ -125,9 +130,18 @@
     this.mesh.send(peer.member, this.frame(FrameKind.Ping, number, { after: peer.after }));
   }
 
+  private refused(member: string): void {
+    const peer = this.peers.find((p) => p.member === member);
+    if (!peer) return;
+    peer.refusals++;
+    // Twice in a row, with a beat between: a restart of the link alone refuses nothing.
+    if (peer.refusals >= 2) this.onDown(peer.member);
+  }
+
   private receive(frame: Frame): void {
     const peer = this.peers.find((p) => p.member === frame.from);
     if (!peer) return;
+    peer.refusals = 0;
     let term: Term;
     try {
       term = BigInt(frame.term === '' ? '0' : frame.term) as Term;
--- a/src/coordination/term.ts
+++ b/src/coordination/term.ts
@@ -30,6 +30,8 @@
   readonly lease: LeaseId;
 }
 
+const USURP_PAUSE_MS = 20_000;
+
 interface Seen {
   readonly holder: { readonly record: HolderRecord; readonly mark: Mark } | undefined;
   readonly epoch: { readonly term: Term; readonly mark: Mark };
@@ -164,14 +166,32 @@
     }
   }
 
-  private async take(seen: Seen): Promise<boolean> {
+  private usurpedAt = -Infinity;
+
+  /**
+   * The holder's process is gone, as far as its refused connections tell. That is no proof, and none is
+   * needed: taking the term is safe at any time, since the fence decides, not the lease. It only mustn't
+   * become a tug-of-war with a holder that lives behind a packet filter, hence the pause.
+   */
+  async usurp(from: MemberName): Promise<void> {
+    const now = this.clock.now();
+    if (this.held || this.newest.holder !== from || now - this.usurpedAt < USURP_PAUSE_MS) return;
+    this.usurpedAt = now;
+    const seen = await this.read();
+    if (this.held || seen?.holder?.record.member !== from) return;
+    this.log.info('term-usurped', { from, term: seen.holder.record.term });
+    await this.take(seen, seen.holder.mark);
+  }
+
+  private async take(seen: Seen, holderMark: Mark = NO_MARK): Promise<boolean> {
     const sent = this.clock.now();
     const lease = await this.store.grantLease(this.leaseMs);
     if (!lease.ok) {
       await sleep(this.clock, jitter(this.random, 200));
       return true;
     }
-    const held = await this.write(seen, lease.value, NO_MARK);
+    const held = await this.write(seen, lease.value, holderMark);
+    if (held && this.held) return true;
     if (!held) {
       void this.store.endLease(lease.value);
       await sleep(this.clock, jitter(this.random, 100));
--- a/test/standin/net.ts
+++ b/test/standin/net.ts
@@ -20,6 +20,7 @@
 export class Net {
   private readonly servers = new Map<string, Server>();
   private readonly meshes = new Map<string, (frame: Frame) => void>();
+  private readonly refusals = new Map<string, (peer: string) => void>();
   private cuts: Cut[] = [];
 
   constructor(
@@ -85,14 +86,20 @@
 
   mesh(self: string): Mesh {
     return {
-      send: (peer, frame) => void this.carry(self, peer, () => this.meshes.get(peer)?.(frame)),
+      send: (peer, frame) =>
+        void this.carry(self, peer, () => {
+          const deliver = this.meshes.get(peer);
+          if (deliver) deliver(frame);
+          else this.carry(peer, self, () => this.refusals.get(self)?.(peer));
+        }),
       onFrame: (listen) => void this.meshes.set(self, listen),
-      onRefused: () => undefined,
+      onRefused: (listen) => void this.refusals.set(self, listen),
     };
   }
 
   dropMesh(self: string): void {
     this.meshes.delete(self);
+    this.refusals.delete(self);
   }
 }
 
