Images per machine are written down for successors

Cause: after a take-over nothing was known of caches, so starts went to cold machines (rush-train waits on troubles rose by a fetch after each take-over). A hint only, a write per machine and new image.

--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -58,6 +58,7 @@
   plan: 'plan/',
   receipt: 'receipt/',
   revision: 'revision/',
+  images: 'fleet/images/',
 } as const;
 
 export const Keys = {
@@ -65,6 +66,7 @@
   epoch: key('term/epoch'),
   catalog: key('fleet/types'),
   standing: key('fleet/standing'),
+  images: (id: MachineId): StoreKey => key(Prefix.images + id),
   job: (id: JobId): StoreKey => key(Prefix.job + id),
   end: (id: JobId): StoreKey => key(Prefix.end + id),
   finish: (id: JobId, chunk: number): StoreKey => key(`${Prefix.finish}${id}/${pad(chunk, 3)}`),
@@ -92,6 +94,9 @@
 /** Machines that stood before the service first ran: the operator's own, never returned for idling. */
 export const standingSchema = z.object({ machines: z.array(z.string()) });
 
+/** Images a machine was seen to hold, least recently used first: a hint for placement, never for safety. */
+export const imagesSchema = z.object({ images: z.array(z.object({ name: z.string(), gb: z.number() })) });
+
 // ---- rows -------------------------------------------------------------------------------------------
 
 /** A job's row while it lives: its generation rises with every round, revision and claim written to it. */
--- a/src/bookkeeping/world.ts
+++ b/src/bookkeeping/world.ts
@@ -122,6 +122,14 @@
   /** Keys that nothing needs any more, to be removed when there is time. */
   readonly garbage = new Set<StoreKey>();
 
+  /** Machines whose images changed since they were last written down. */
+  readonly imagesChanged = new Set<Machine>();
+  /** What earlier terms wrote down of machines not known here yet. */
+  readonly imagesKept = new Map<MachineId, readonly { readonly name: ImageName; readonly gb: number }[]>();
+
+  /** Machines gone whose note may be in the store. */
+  readonly imagesGone = new Set<MachineId>();
+
   constructor(readonly term: Term) {}
 
   addJob(row: Row, mark: Mark, acceptedAt: SteadyMs, cancelledAt: SteadyMs | undefined): Job {
@@ -180,6 +188,7 @@
       returnAt: undefined,
       probedAt: undefined,
     };
+    for (const i of this.imagesKept.get(id) ?? []) machine.images.set(i.name, i.gb);
     this.machines.set(id, machine);
     return machine;
   }
@@ -232,11 +241,28 @@
     if (p.index < p.job.cursor) p.job.cursor = p.index;
   }
 
+  /** The image was used there just now; the cache keeps the most recently used ones. */
+  noteImage(machine: Machine, image: ImageName, gb: number, cacheGb: number): void {
+    const known = machine.images.delete(image);
+    machine.images.set(image, gb);
+    if (known) return;
+    this.imagesChanged.add(machine);
+    let sum = 0;
+    for (const size of machine.images.values()) sum += size;
+    for (const [oldest, size] of machine.images) {
+      if (sum <= cacheGb || oldest === image) break;
+      machine.images.delete(oldest);
+      sum -= size;
+    }
+  }
+
   /** A machine and everything on it is gone. */
   removeMachine(machine: Machine, now: SteadyMs): void {
     for (const p of machine.placements) this.end(p, 'gone', now);
     machine.state = 'gone';
     this.machines.delete(machine.id);
+    this.imagesChanged.delete(machine);
+    this.imagesGone.add(machine.id);
   }
 }
 
--- a/src/coordination/command.ts
+++ b/src/coordination/command.ts
@@ -4,7 +4,7 @@
 import type { Term } from '../protocol/ids.js';
 import type { Command, Report, ReportedTask } from '../protocol/workers.js';
 import type { Estimates } from '../bookkeeping/estimates.js';
-import type { Job, Machine, Placement, World } from '../bookkeeping/world.js';
+import type { Machine, Placement, World } from '../bookkeeping/world.js';
 
 export interface CommandContext {
   readonly world: World;
@@ -14,6 +14,7 @@
   readonly estimates: Estimates;
   readonly metrics: Metrics;
   /** Starts follow a receipt, but only while this node surely holds the term. */
+  readonly cacheGb: (machine: Machine) => number;
   readonly mayStart: () => boolean;
   readonly wake: () => void;
 }
@@ -125,11 +126,6 @@
   ctx.wake();
 }
 
-function noteImage(machine: Machine, job: Job): void {
-  machine.images.delete(job.spec.image);
-  machine.images.set(job.spec.image, job.spec.imageGb);
-}
-
 function ownTask(
   ctx: CommandContext,
   p: Placement,
@@ -157,7 +153,9 @@
   p.seen = true;
   if (p.state !== task.state) {
     p.state = task.state;
-    if (task.state !== 'fetching') noteImage(machine, p.job);
+    if (task.state !== 'fetching') {
+      ctx.world.noteImage(machine, p.job.spec.image, p.job.spec.imageGb, ctx.cacheGb(machine));
+    }
     if (task.state === 'running') {
       if (p.runningSince === undefined) ctx.metrics.timeMs('accepted-to-running', now - p.job.acceptedAt);
       p.runningSince ??= now;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -315,6 +315,11 @@
     }
     for (const [id, at] of this.gone)
       if (now - at > 10 * lagMs + 60_000 && !present.has(id)) this.gone.delete(id);
+    if (now - this.since > 60_000) {
+      // Notes on machines that went while nobody held the term.
+      for (const id of world.imagesKept.keys()) if (!world.machines.has(id)) world.imagesGone.add(id);
+      world.imagesKept.clear();
+    }
     if (failed.length > 0) void this.giveBack(failed, 'failed');
   }
 
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -5,6 +5,7 @@
 import { jitter, type Random } from '../transport/random.js';
 import { decodeAs } from '../protocol/codec.js';
 import type { Address, Attempt, JobId, Mark } from '../protocol/ids.js';
+import type { Change } from '../protocol/state.js';
 import type { Operator } from '../protocol/operator.js';
 import type { Settings } from '../protocol/settings.js';
 import { Paths } from '../protocol/wire.js';
@@ -172,6 +173,7 @@
       term: this.held.term,
       estimates: this.estimates,
       metrics: d.metrics,
+      cacheGb: (m) => d.types.all().get(m.type)?.cacheGb ?? Infinity,
       mayStart: () => d.term.canDecide(),
       wake: () => this.wake(),
     };
@@ -474,6 +476,7 @@
         world.garbage.add(Keys.plan(plan.id)).add(Keys.receipt(plan.id));
         if (plan.hasRevision) world.garbage.add(Keys.revision(plan.id));
       }
+      await this.keepImages(world);
       const keys = [...world.garbage].slice(0, d.settings.store.txnOps);
       if (keys.length === 0) continue;
       const outcome = await d.store.txn(
@@ -485,6 +488,32 @@
       if (outcome.ok && outcome.value.kind === 'committed') for (const key of keys) world.garbage.delete(key);
     }
   }
+
+  /**
+   * Which images are where is written down now and then: a successor that had to guess would send every
+   * start to a cold machine. Only a hint, so nothing is lost when it is old.
+   */
+  private async keepImages(world: World): Promise<void> {
+    const { d } = this;
+    for (const id of world.imagesGone) {
+      world.garbage.add(Keys.images(id));
+      world.imagesGone.delete(id);
+    }
+    const machines = [...world.imagesChanged].slice(0, d.settings.store.txnOps);
+    if (machines.length === 0) return;
+    for (const m of machines) world.imagesChanged.delete(m);
+    const changes: Change[] = [];
+    for (const m of machines) {
+      const value = seal({ images: imagesOf(m) });
+      if (fits(value, d.settings.store.valueKb)) changes.push({ op: 'put', key: Keys.images(m.id), value });
+    }
+    const done = await d.store.txn([{ key: Keys.holder, mark: this.held.mark }], changes, Rank.Round);
+    if (!done.ok) for (const m of machines) if (m.state !== 'gone') world.imagesChanged.add(m);
+  }
+}
+
+function imagesOf(machine: Machine): { name: string; gb: number }[] {
+  return [...machine.images].map(([name, gb]) => ({ name, gb }));
 }
 
 function planJob(job: Job, tasks: readonly PlannedTask[]): PlanJob {
--- a/src/coordination/load.ts
+++ b/src/coordination/load.ts
@@ -2,9 +2,10 @@
 import type { Clock, SteadyMs } from '../transport/clock.js';
 import type { Log } from '../transport/log.js';
 import { err, ok, type Result } from '../transport/result.js';
-import type { Attempt, JobId, PlanId, StoreKey, Term } from '../protocol/ids.js';
+import type { Attempt, ImageName, JobId, MachineId, PlanId, StoreKey, Term } from '../protocol/ids.js';
 import {
   finishSchema,
+  imagesSchema,
   indicesOf,
   Keys,
   Prefix,
@@ -36,16 +37,24 @@
   const world = new World(term);
   const now = clock.now();
   const read = (prefix: string) => store.range(prefix, Rank.User);
-  const [rows, finishes, plans, receipts, revisions] = await Promise.all([
+  const [rows, finishes, plans, receipts, revisions, images] = await Promise.all([
     read(Prefix.job),
     read(Prefix.finish),
     read(Prefix.plan),
     read(Prefix.receipt),
     read(Prefix.revision),
+    read(Prefix.images),
   ]);
   for (const part of [rows, finishes, plans, receipts, revisions]) if (!part.ok) return err(part.error.why);
   if (!rows.ok || !finishes.ok || !plans.ok || !receipts.ok || !revisions.ok) return err('unreachable');
 
+  if (images.ok) {
+    for (const e of images.value.entries) {
+      const kept = unseal(imagesSchema, e.value);
+      const id = e.key.slice(Prefix.images.length) as MachineId;
+      if (kept.ok) world.imagesKept.set(id, kept.value.images as { name: ImageName; gb: number }[]);
+    }
+  }
   for (const e of rows.value.entries) {
     const row = unseal(rowSchema, e.value);
     if (!row.ok) {
