--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -99,29 +99,41 @@
 /** Stopping a task so that its progress is kept, where it can save at all. */
 export const graceOf = (s: JobSpec): number => (s.checkpointS > 0 ? s.saveS * 1.5 + 2 : 0);
 
-/** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
+/**
+ * Jobs that fit into their team's guarantee: together with the team's earlier unfinished jobs, as the users
+ * count it, or together with its jobs of higher priority. A team's urgent work isn't pushed out of what the
+ * team is owed by its own older arrays.
+ */
 export function withinGuarantee(
   jobs: Iterable<Job>,
   teams: ReadonlyMap<TeamName, TeamLimits>,
 ): ReadonlySet<JobId> {
   const byAge = [...jobs].sort((a, b) => a.row.acceptedAt - b.row.acceptedAt || (a.id < b.id ? -1 : 1));
-  const sums = new Map<TeamName, Use>();
+  const byPriority = [...byAge].sort((a, b) => priorityRank(a.spec.priority) - priorityRank(b.spec.priority));
   const within = new Set<JobId>();
-  for (const job of byAge) {
+  for (const order of [byAge, byPriority]) fillGuarantees(order, teams, within);
+  return within;
+}
+
+function fillGuarantees(
+  order: readonly Job[],
+  teams: ReadonlyMap<TeamName, TeamLimits>,
+  within: Set<JobId>,
+): void {
+  const sums = new Map<TeamName, Use>();
+  for (const job of order) {
     if (job.cancelledAt !== undefined) continue;
     const team = teams.get(job.spec.team);
-    if (!team) continue;
+    if (!team || (team.cpus <= 0 && team.gpus <= 0)) continue;
     const use = sums.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
     const n = job.spec.tasks - job.done.count;
     use.cpus += n * job.spec.cpus;
     use.gpus += n * job.spec.gpus;
     sums.set(job.spec.team, use);
-    if (team.cpus <= 0 && team.gpus <= 0) continue;
     if ((team.cpus <= 0 || use.cpus <= team.cpus + EPS) && (team.gpus <= 0 || use.gpus <= team.gpus + EPS)) {
       within.add(job.id);
     }
   }
-  return within;
 }
 
 /**
