--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -34,18 +34,25 @@
 export interface StartAims {
   readonly byClass: ReadonlyMap<string, number>;
   readonly guaranteeS: number | undefined;
+  /** Seconds from submission by which jobs of a class should be finished, shortest first. */
+  readonly finishByClass: ReadonlyMap<string, readonly number[]>;
 }
 
 export function startAims(objectives: Settings['objectives']): StartAims {
   const byClass = new Map<string, number>();
+  const finishByClass = new Map<string, number[]>();
   let guaranteeS: number | undefined;
   for (const o of objectives) {
     if (o.withinS === undefined) continue;
     if (o.kind === 'guarantee') guaranteeS = Math.min(o.withinS, guaranteeS ?? Infinity);
+    if (o.kind === 'finished' && o.class !== undefined) {
+      const all = [...(finishByClass.get(o.class) ?? []), o.withinS].sort((a, b) => a - b);
+      finishByClass.set(o.class, all);
+    }
     if (o.kind !== 'wait' || o.class === undefined) continue;
     byClass.set(o.class, Math.min(o.withinS, byClass.get(o.class) ?? Infinity));
   }
-  return { byClass, guaranteeS };
+  return { byClass, guaranteeS, finishByClass };
 }
 
 /** Without an aim, work may wait this long for room before other work is stopped for it. */
@@ -138,19 +145,41 @@
 
 /**
  * Production work first, whatever its team is owed: a missing replica is an outage, and replicas are small
- * beside the rest. Then guarantees, then priority, then age.
+ * beside the rest. Then guarantees, then priority, then what is due first, then age.
  */
-export function jobOrder(jobs: Iterable<Job>, within: ReadonlySet<JobId>): Job[] {
+export function jobOrder(
+  jobs: Iterable<Job>,
+  within: ReadonlySet<JobId>,
+  due: (job: Job) => number = () => 0,
+): Job[] {
   return [...jobs].sort(
     (a, b) =>
       Number(isProduction(b)) - Number(isProduction(a)) ||
       Number(within.has(b.id)) - Number(within.has(a.id)) ||
       priorityRank(a.spec.priority) - priorityRank(b.spec.priority) ||
+      due(a) - due(b) ||
       a.row.acceptedAt - b.row.acceptedAt ||
       (a.id < b.id ? -1 : 1),
   );
 }
 
+/** Later than any time that is due. */
+const NEVER = Number.MAX_SAFE_INTEGER;
+
+/**
+ * When an array or gang is due: its own deadline, or the first of its class's aims that it can still make. Work
+ * that can make none goes last among its equals, since serving it first would only make others late too.
+ */
+function dueAt(job: Job, s: Snapshot): number {
+  const { spec } = job;
+  const runS = s.estimates.of(spec);
+  const age = (s.now - job.acceptedAt) / 1000;
+  const aims = spec.deadlineS !== null ? [spec.deadlineS] : (s.aims.finishByClass.get(spec.class) ?? []);
+  if (spec.kind === 'service' || aims.length === 0) return job.acceptedAt + 2 * runS * 1000;
+  const aim = aims.find((a) => age + runS <= a);
+  return aim === undefined ? NEVER : job.acceptedAt + aim * 1000;
+}
+
 const isProduction = (job: Job): boolean => job.spec.priority === 'production';
 
 export const usable = (m: Machine, s: Snapshot): boolean =>
@@ -265,7 +294,9 @@
   }
 
   run(): RoundPlan {
-    const jobs = jobOrder(this.s.world.jobs.values(), this.within);
+    const due = new Map<JobId, number>();
+    for (const job of this.s.world.jobs.values()) due.set(job.id, dueAt(job, this.s));
+    const jobs = jobOrder(this.s.world.jobs.values(), this.within, (job) => due.get(job.id) ?? NEVER);
     jobs.forEach((job, i) => this.order.set(job.id, i));
     for (const job of jobs) {
       if (job.cancelledAt === undefined) this.planJob(job);
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -13,7 +13,7 @@
 } from '../src/bookkeeping/records.js';
 import { Estimates } from '../src/bookkeeping/estimates.js';
 import { World as Book, type Job, type Machine } from '../src/bookkeeping/world.js';
-import { planRound, type Snapshot } from '../src/coordination/planner.js';
+import { planRound, withinGuarantee, type Snapshot } from '../src/coordination/planner.js';
 import { decode, decodeAs, encode } from '../src/protocol/codec.js';
 import type {
   ImageName,
@@ -227,7 +227,7 @@
     maxJobs: 10,
     preemptAfterMs: 0,
     estimates: new Estimates(),
-    aims: { byClass: new Map(), guaranteeS: undefined },
+    aims: { byClass: new Map(), guaranteeS: undefined, finishByClass: new Map() },
   };
   return { snapshot, jobs, machines };
 }
@@ -271,3 +271,24 @@
     SEED,
   );
 });
+
+test('urgent work counts into its team guarantee before older arrays', () => {
+  const base = fc.sample(spec, { seed: 2, numRuns: 1 })[0]!;
+  const of = (id: string, f: Partial<JobSpec>): JobSpec => ({
+    ...base,
+    id: id as JobId,
+    team: 'red' as TeamName,
+    gpus: 1,
+    ...f,
+  });
+  const { jobs } = build({
+    specs: [
+      of('req-000001', { kind: 'array', priority: 'normal', tasks: 3 }),
+      of('req-000002', { kind: 'array', priority: 'normal', tasks: 3 }),
+      of('req-000003', { kind: 'gang', priority: 'high', tasks: 2 }),
+    ],
+    machines: [],
+  });
+  const within = withinGuarantee(jobs, teams);
+  assert.deepEqual([...within].sort(), ['req-000001', 'req-000003']);
+});
