Cancellations survive a take-over, completed gangs don't wait for ever, proofs under test

Found by reading, each with a test that fails without the change: a job cancelled in the moment before its holder ended was only got rid of by returning its machines (scenario cancel-then-takeover); a gang whose machine went between completion and report waited for ever (gang-done-and-gone); a garbled order answer counted as none; work over its team's limit made machines be rented. What proves a task gone is now tested case by case.

--- a/src/coordination/command.ts
+++ b/src/coordination/command.ts
@@ -19,6 +19,9 @@
   readonly wake: () => void;
 }
 
+/** Some 70 bytes each, against 64 KiB for an answer. */
+const MOST_COMMANDS = 500;
+
 /**
  * The command loop: the wanted state is the committed placements, the found state is the report; the
  * difference is the answer. Starts go in answers to reports, which can't run late: the worker has one
@@ -89,7 +92,7 @@
     if (p.ended || reported.has(p) || p.session !== r.session) continue;
     missingTask(ctx, p, r, before > 0n, now, commands);
   }
-  return commands;
+  return commands.slice(0, 2 * MOST_COMMANDS - 200);
 }
 
 /**
@@ -213,6 +216,7 @@
     ctx.wake();
     return;
   }
+  if (commands.length >= MOST_COMMANDS) return; // Answers have a size limit; the next report gets the rest.
   if (!ctx.mayStart() || !(reportedBefore || p.machine.own)) return;
   if (p.sentSeq !== undefined)
     ctx.log.info('start-again', { task: `${p.job.id}/${p.index}`, machine: p.machine.id });
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -229,17 +229,22 @@
     const { d } = this;
     const reply = await d.http.call(address, 'POST', Paths.orders, body, ORDER_MS);
     if (!this.live()) return;
-    if (!reply.ok && reply.error.kind === 'unknown' && starts.length > 0) {
+    const status = reply.ok ? reply.value.status : 0;
+    const report = reply.ok && status === 200 ? decodeAs(reportSchema, reply.value.body) : undefined;
+    // Only a whole report, a refusal by the worker, or a connection that never stood says what happened.
+    const clear =
+      report?.ok === true ||
+      status === 409 ||
+      status === 400 ||
+      (!reply.ok && reply.error.kind === 'refused');
+    if (!clear && starts.length > 0) {
       for (const p of starts) p.order = 'floating';
-      d.log.info('order-unanswered', { machine: machine.id, starts: starts.length, why: reply.error.why });
+      d.log.info('order-unanswered', { machine: machine.id, starts: starts.length, status });
       return d.term.rise('a start without an answer');
     }
     for (const p of starts) p.order = undefined;
-    const report =
-      reply.ok && reply.value.status === 200 ? decodeAs(reportSchema, reply.value.body) : undefined;
     if (report?.ok) handleOrderReply(this.context(world), machine, report.value);
-    else if (starts.length > 0)
-      d.log.info('order-refused', { machine: machine.id, status: reply.ok ? reply.value.status : 0 });
+    else if (starts.length > 0) d.log.info('order-refused', { machine: machine.id, status });
     // What was stopped or ended meanwhile is dealt with at the next report.
   }
 
--- a/src/coordination/load.ts
+++ b/src/coordination/load.ts
@@ -124,6 +124,12 @@
     // A later plan knew a later session: what was there before it is gone.
     for (const p of machine.placements) if (p.session < machine.session) world.end(p, 'gone', now);
   }
+  for (const job of world.jobs.values()) {
+    if (job.cancelledAt === undefined) continue;
+    // Cancelled under an older holder, which may have ended before it told the workers.
+    for (const p of job.placements.values())
+      p.stop = { graceS: 0, why: 'cancelled', at: now, ordered: false };
+  }
   for (const plan of [...world.plans.values()]) {
     if (plan.open > 0) continue;
     world.plans.delete(plan.id);
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -286,6 +286,15 @@
     );
   }
 
+  /** How many more tasks of the kind the team's limit allows. */
+  private allowance(s: JobSpec): number {
+    const team = this.s.teams.get(s.team);
+    const use = this.use.get(s.team) ?? { cpus: 0, gpus: 0 };
+    const of = (max: number, used: number, each: number): number =>
+      max <= 0 || each <= 0 ? Infinity : Math.max(0, Math.floor((max - used) / each + EPS));
+    return team ? Math.min(of(team.cpusMax, use.cpus, s.cpus), of(team.gpusMax, use.gpus, s.gpus)) : 0;
+  }
+
   private charge(s: JobSpec, n: number): void {
     const use = this.use.get(s.team) ?? { cpus: 0, gpus: 0 };
     use.cpus += n * s.cpus;
@@ -311,8 +320,12 @@
       (i) => !this.strangers.has(`${job.id}/${i}`),
     );
     if (waiting.length === 0) return;
-    const put = (reason: WaitReason, count = waiting.length): void =>
-      void this.unplaced.push({ job, count, reason });
+    const put = (reason: WaitReason, count = waiting.length): void => {
+      // What the team's limit keeps from running anyway needs no room, and above all no rented machine.
+      const allowed = reason === 'no room' ? Math.min(count, this.allowance(spec)) : count;
+      if (allowed > 0) this.unplaced.push({ job, count: allowed, reason });
+      if (allowed < count) this.unplaced.push({ job, count: count - allowed, reason: 'team limit' });
+    };
     if (job.notBefore > this.s.now) return put('backing off');
     if (spec.kind === 'gang') {
       // All or nothing: a new attempt starts when the old one is gone to the last task.
--- a/src/coordination/settle.ts
+++ b/src/coordination/settle.ts
@@ -21,10 +21,17 @@
   readonly groups: { readonly plan: PlanId; readonly placements: Placement[] }[];
 }
 
+/**
+ * The tasks of a gang complete together. One that is known as done proves the others done, even where a
+ * machine went before it could report; waiting for such a task would be waiting for ever.
+ */
+const gangCompleted = (job: Job, doneNow: number): boolean =>
+  job.spec.kind === 'gang' && job.done.count + doneNow > 0;
+
 function partsOf(world: World, now: SteadyMs): JobPart[] {
   const byJob = new Map<Job, Map<PlanId, Placement[]>>();
   for (const job of world.jobs.values()) {
-    const over = job.cancelledAt !== undefined || job.done.count >= job.spec.tasks;
+    const over = job.cancelledAt !== undefined || job.done.count >= job.spec.tasks || gangCompleted(job, 0);
     if (over && job.placements.size === 0) byJob.set(job, new Map());
   }
   for (const p of world.unsettled) {
@@ -121,7 +128,7 @@
   for (const w of planWrites) touched.add(w.plan.id);
 
   const doneNow = [...chunks.values()].reduce((n, c) => n + c.filter((i) => !job.done.has(i)).length, 0);
-  const allDone = job.done.count + doneNow >= job.spec.tasks;
+  const allDone = job.done.count + doneNow >= job.spec.tasks || gangCompleted(job, doneNow);
   const empty = job.placements.size === chosen.length;
   const cancelled = job.cancelledAt !== undefined;
   const over = empty && (allDone || cancelled);
@@ -135,7 +142,10 @@
     done: job.done.count + doneNow,
   };
   if (over) {
-    const end: EndRecord = { state: cancelled ? 'cancelled' : 'done', done: job.done.count + doneNow };
+    const end: EndRecord = {
+      state: cancelled ? 'cancelled' : 'done',
+      done: cancelled ? job.done.count + doneNow : job.spec.tasks,
+    };
     changes.push({ op: 'delete', key: Keys.job(job.id) });
     changes.push({ op: 'put', key: Keys.end(job.id), value: seal(end) });
   } else {
--- /dev/null
+++ b/test/proofs.test.ts
@@ -0,0 +1,191 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Estimates } from '../src/bookkeeping/estimates.js';
+import { World as Book, type Placement } from '../src/bookkeeping/world.js';
+import { handleOrderReply, handleReport, type CommandContext } from '../src/coordination/command.js';
+import type {
+  Address,
+  Attempt,
+  ImageName,
+  JobId,
+  MachineId,
+  Mark,
+  PlanId,
+  Seq,
+  Session,
+  TaskIndex,
+  TeamName,
+  Term,
+  TypeName,
+  ZoneName,
+} from '../src/protocol/ids.js';
+import type { Report, ReportedTask } from '../src/protocol/workers.js';
+import type { SteadyMs } from '../src/transport/clock.js';
+import { silentLog } from '../src/transport/log.js';
+import { Metrics } from '../src/transport/metrics.js';
+import { ProcessClock, World } from './standin/clock.js';
+
+/** What proves that a task is off its machine, and what doesn't. Each case is one that let tasks run twice. */
+const TERM = 5n as Term;
+
+function setUp(): { ctx: CommandContext; p: Placement; report: (f: Partial<Report>) => Report } {
+  const world = new Book(TERM);
+  const clock = new ProcessClock(new World(), 1, 0);
+  const job = world.addJob(
+    {
+      spec: {
+        id: 'req-000001' as JobId,
+        class: 'c',
+        team: 'red' as TeamName,
+        kind: 'service',
+        priority: 'normal',
+        tasks: 1,
+        cpus: 1,
+        gpus: 1,
+        memoryGb: 1,
+        image: 'i' as ImageName,
+        imageGb: 1,
+        types: null,
+        zone: null,
+        oneZone: false,
+        spread: false,
+        spot: false,
+        estimateS: 0,
+        checkpointS: 0,
+        saveS: 0,
+        deadlineS: null,
+      },
+      state: 'running',
+      generation: 1,
+      term: TERM,
+      attempt: 1,
+      done: 0,
+      acceptedAt: 0 as never,
+      cancelledAt: null,
+    },
+    1n as Mark,
+    0 as SteadyMs,
+    undefined,
+  );
+  const machine = world.addMachine(
+    'm-1' as MachineId,
+    'g' as TypeName,
+    'a' as ZoneName,
+    false,
+    clock.now(),
+    clock.now(),
+  );
+  machine.state = 'up';
+  machine.session = 1n as Session;
+  machine.seq = 10n as Seq;
+  const p = world.place(
+    job,
+    0 as TaskIndex,
+    1n as Attempt,
+    machine,
+    1n as Session,
+    'p' as PlanId,
+    clock.now(),
+  );
+  const ctx: CommandContext = {
+    world,
+    clock,
+    log: silentLog,
+    term: TERM,
+    estimates: new Estimates(),
+    metrics: new Metrics(),
+    cacheGb: () => 100,
+    mayStart: () => true,
+    wake: () => undefined,
+  };
+  const report = (f: Partial<Report>): Report => ({
+    machine: 'm-1' as MachineId,
+    address: 'x:1' as Address,
+    type: 'g' as TypeName,
+    zone: 'a' as ZoneName,
+    spot: false,
+    session: 1n as Session,
+    seq: 11n as Seq,
+    token: TERM,
+    noticeS: null,
+    tasks: [],
+    ...f,
+  });
+  return { ctx, p, report };
+}
+
+const howOf = (p: Placement): string | undefined => p.ended?.how;
+
+const stop = (p: Placement): void => {
+  p.stop = { graceS: 0, why: 'test', at: 0 as SteadyMs, ordered: false };
+};
+
+const shown: ReportedTask = {
+  job: 'req-000001' as JobId,
+  index: 0 as TaskIndex,
+  attempt: 1n as Attempt,
+  state: 'running',
+  saved: false,
+};
+
+test('a newer report of this term without the task proves it gone', () => {
+  const { ctx, p, report } = setUp();
+  stop(p);
+  handleReport(ctx, report({}));
+  assert.equal(howOf(p), 'unsent');
+});
+
+test('a report with an older token proves nothing: an older holder may just have answered', () => {
+  const { ctx, p, report } = setUp();
+  stop(p);
+  assert.deepEqual(handleReport(ctx, report({ token: 4n as Term })), []);
+  assert.equal(howOf(p), undefined);
+});
+
+test('a report that was overtaken proves nothing', () => {
+  const { ctx, p, report } = setUp();
+  handleReport(ctx, report({ seq: 20n as Seq, tasks: [shown] }));
+  handleReport(ctx, report({ seq: 15n as Seq }));
+  assert.equal(howOf(p), undefined);
+});
+
+test('while a direct start flies or floats, absence proves nothing and nothing is sent again', () => {
+  for (const order of ['flying', 'floating'] as const) {
+    const { ctx, p, report } = setUp();
+    p.order = order;
+    assert.deepEqual(handleReport(ctx, report({})), []);
+    stop(p);
+    handleReport(ctx, report({ seq: 12n as Seq }));
+    handleReport(ctx, report({ seq: 13n as Seq, tasks: [{ ...shown, state: 'exited', cause: 'stopped' }] }));
+    assert.equal(howOf(p), undefined, order);
+  }
+});
+
+test('a higher session proves it gone even with a start on its way', () => {
+  const { ctx, p, report } = setUp();
+  p.order = 'floating';
+  handleReport(ctx, report({ session: 2n as Session, seq: 1n as Seq, token: 0n as Term }));
+  assert.equal(howOf(p), 'gone');
+});
+
+test('the answer to an order shows presence; a report made before it shows no absence', () => {
+  const { ctx, p, report } = setUp();
+  handleOrderReply(ctx, p.machine, report({ seq: 30n as Seq, tasks: [shown] }));
+  assert.ok(p.seen);
+  handleReport(ctx, report({ seq: 29n as Seq }));
+  assert.equal(howOf(p), undefined);
+  handleOrderReply(ctx, p.machine, report({ seq: 31n as Seq }));
+  assert.equal(howOf(p), undefined, 'an order answer without the task is no proof');
+  handleReport(ctx, report({ seq: 32n as Seq }));
+  assert.equal(howOf(p), 'gone');
+});
+
+test('a finished task is forgotten only once the store holds its end', () => {
+  const { ctx, p, report } = setUp();
+  const done: ReportedTask = { ...shown, state: 'exited', cause: 'done' };
+  assert.deepEqual(handleReport(ctx, report({ tasks: [done] })), []);
+  assert.equal(howOf(p), 'done');
+  ctx.world.settle(p);
+  const [command] = handleReport(ctx, report({ seq: 12n as Seq, tasks: [done] }));
+  assert.equal(command?.op, 'forget');
+});
--- a/test/standin/scenario.ts
+++ b/test/standin/scenario.ts
@@ -235,6 +235,13 @@
     return u.cloud.rentals <= Number(third) ? undefined : `${u.cloud.rentals} machines were rented`;
   if (subject === 'starts')
     return u.rules.starts <= Number(third) ? undefined : `${u.rules.starts} tasks were started`;
+  if (subject === 'alive') {
+    return u.cloud.live().some((m) => m.id === verb) ? undefined : `${verb} is gone`;
+  }
+  if (subject === 'rises') {
+    const rises = u.events.get('term-rises') ?? 0;
+    return rises >= Number(third) ? undefined : `the term rose ${rises} times`;
+  }
   if (subject === 'machines') {
     const n = u.cloud.live().length;
     return n <= Number(third) ? undefined : `${n} machines are left`;
--- a/test/standin/universe.ts
+++ b/test/standin/universe.ts
@@ -66,7 +66,12 @@
   readonly jobs = new Map<string, JobRun>();
   readonly toldAt = new Map<string, number>();
   readonly statuses = new Map<string, number>();
-  log: (member: string) => Log = () => silentLog;
+  /** How often each event was logged, by any node. */
+  readonly events = new Map<string, number>();
+  log: (member: string) => Log = () => ({
+    ...silentLog,
+    info: (event) => void this.events.set(event, (this.events.get(event) ?? 0) + 1),
+  });
   private readonly user: HttpClient;
 
   constructor(readonly o: UniverseOptions) {
