--- a/src/bookkeeping/world.ts
+++ b/src/bookkeeping/world.ts
@@ -111,6 +111,9 @@
   hasRevision: boolean;
 }
 
+/** News of a row come within seconds of its end, so the last few thousand are enough to know. */
+const ENDED_KEPT = 10_000;
+
 export class World {
   readonly jobs = new Map<JobId, Job>();
   readonly machines = new Map<MachineId, Machine>();
@@ -256,6 +259,13 @@
     }
   }
 
+  noteEnded(id: JobId): void {
+    this.ended.add(id);
+    if (this.ended.size <= ENDED_KEPT) return;
+    const oldest = this.ended.values().next().value;
+    if (oldest !== undefined) this.ended.delete(oldest);
+  }
+
   /** A machine and everything on it is gone. */
   removeMachine(machine: Machine, now: SteadyMs): void {
     for (const p of machine.placements) this.end(p, 'gone', now);
--- a/src/coordination/command.ts
+++ b/src/coordination/command.ts
@@ -92,7 +92,8 @@
     if (p.ended || reported.has(p) || p.session !== r.session) continue;
     missingTask(ctx, p, r, before > 0n, now, commands);
   }
-  return commands.slice(0, 2 * MOST_COMMANDS - 200);
+  // What doesn't fit is said again in the answer to the next report.
+  return commands.slice(0, MOST_COMMANDS + 300);
 }
 
 /**
--- a/src/coordination/settle.ts
+++ b/src/coordination/settle.ts
@@ -193,7 +193,7 @@
       }
       if (over) {
         world.jobs.delete(job.id);
-        world.ended.add(job.id);
+        world.noteEnded(job.id);
         const last = chunkOf(job.spec.tasks - 1);
         for (let c = 0; c <= last; c++)
           if (job.finishChunks.has(c)) world.garbage.add(Keys.finish(job.id, c));
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -45,7 +45,7 @@
   bind: string,
   routes: readonly Route[],
   options: ServerOptions,
-): Promise<{ close(): void }> {
+): Promise<{ readonly port: number; close(): void }> {
   const app = buildApp(routes, options);
   const colon = bind.lastIndexOf(':');
   const server = createAdaptorServer({ fetch: app.fetch, overrideGlobalObjects: false });
@@ -54,8 +54,9 @@
   if ('keepAliveTimeout' in server) server.keepAliveTimeout = 75_000;
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen(Number(bind.slice(colon + 1)), bind.slice(0, colon), 1024, () =>
-      resolve({ close: () => void server.close() }),
-    );
+    server.listen(Number(bind.slice(colon + 1)), bind.slice(0, colon), 1024, () => {
+      const at = server.address();
+      resolve({ port: typeof at === 'object' && at ? at.port : 0, close: () => void server.close() });
+    });
   });
 }
--- a/src/transport/mesh.ts
+++ b/src/transport/mesh.ts
@@ -52,6 +52,7 @@
   onFrame(listen: (frame: Frame) => void): void;
   /** Told when a peer's address refuses connections; a hint only, never a proof. */
   onRefused(listen: (peer: string) => void): void;
+  close?(): void;
 }
 
 const MAX_FRAME = 1 << 20;
@@ -82,12 +83,19 @@
   }
 }
 
-export function netMesh(bind: string, peers: ReadonlyMap<string, string>, clock: Clock): Mesh {
+export function netMesh(
+  bind: string,
+  peers: ReadonlyMap<string, string>,
+  clock: Clock,
+): Mesh & { close(): void } {
   const frameListeners: ((frame: Frame) => void)[] = [];
   const refusedListeners: ((peer: string) => void)[] = [];
   const links = new Map<string, { socket: Socket; idleSince: number }>();
 
+  const inbound = new Set<Socket>();
   const read = (socket: Socket): void => {
+    inbound.add(socket);
+    socket.on('close', () => inbound.delete(socket));
     let rest: Buffer = Buffer.alloc(0);
     socket.on('data', (chunk: Buffer) => {
       try {
@@ -137,5 +145,10 @@
     },
     onFrame: (listen) => void frameListeners.push(listen),
     onRefused: (listen) => void refusedListeners.push(listen),
+    close() {
+      server.close();
+      for (const link of links.values()) link.socket.destroy();
+      for (const socket of inbound) socket.destroy();
+    },
   };
 }
--- /dev/null
+++ b/test/transport.test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { encodeError } from '../src/protocol/jobs.js';
+import { systemClock } from '../src/transport/clock.js';
+import { netHttpClient } from '../src/transport/http-client.js';
+import { serveHttp } from '../src/transport/http-server.js';
+import { FrameKind, netMesh, type Frame } from '../src/transport/mesh.js';
+
+/** The real sockets, on the loopback: what the virtual network of the scenarios stands for. */
+const type = 'application/cbor';
+const http = netHttpClient(4, type);
+
+async function withServer(run: (address: string) => Promise<void>): Promise<void> {
+  const server = await serveHttp(
+    '127.0.0.1:0',
+    [
+      {
+        method: 'POST',
+        path: '/echo/:id',
+        handle: (p, body) => ({ status: 200, body: Buffer.concat([Buffer.from(p['id']!), body]) }),
+      },
+      { method: 'GET', path: '/later', handle: () => ({ status: 503, headers: { 'retry-after': '1' } }) },
+    ],
+    { maxBody: 64 * 1024, contentType: type, errorBody: encodeError, maxConnections: 100 },
+  );
+  try {
+    await run(`127.0.0.1:${server.port}`);
+  } finally {
+    server.close();
+  }
+}
+
+async function status(address: string, method: string, path: string, body?: Uint8Array): Promise<number> {
+  const reply = await http.call(address, method, path, body, 2000);
+  assert.ok(reply.ok);
+  return reply.value.status;
+}
+
+test('routes, sizes and methods are refused properly over real sockets', async () => {
+  await withServer(async (address) => {
+    const reply = await http.call(address, 'POST', '/echo/req-1', Buffer.from('hello'), 2000);
+    assert.ok(reply.ok);
+    assert.equal(Buffer.from(reply.value.body!).toString(), 'req-1hello');
+    assert.equal(await status(address, 'POST', '/echo/x', new Uint8Array(64 * 1024)), 200);
+    assert.equal(await status(address, 'POST', '/echo/x', new Uint8Array(64 * 1024 + 1)), 413);
+    assert.equal(await status(address, 'GET', '/echo/x'), 405);
+    assert.equal(await status(address, 'GET', '/nothing'), 404);
+    assert.equal(await status(address, 'GET', '/later'), 503);
+  });
+});
+
+test('a refused connection is told from an answer that never came', async () => {
+  const silent = createServer((socket) => void socket.on('error', () => undefined).resume());
+  await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve));
+  const { port } = silent.address() as { port: number };
+  const hung = await http.call(`127.0.0.1:${port}`, 'POST', '/x', new Uint8Array(1), 150);
+  assert.ok(!hung.ok && hung.error.kind === 'unknown');
+  await new Promise<void>((resolve) => silent.close(() => resolve()));
+  const refused = await http.call(`127.0.0.1:${port}`, 'POST', '/x', new Uint8Array(1), 1000);
+  assert.ok(!refused.ok && refused.error.kind === 'refused');
+});
+
+test('frames cross the mesh whole, and a refusing peer is noticed', async () => {
+  const free = async (): Promise<string> => {
+    const probe = createServer();
+    await new Promise<void>((resolve) => probe.listen(0, '127.0.0.1', resolve));
+    const { port } = probe.address() as { port: number };
+    await new Promise<void>((resolve) => probe.close(() => resolve()));
+    return `127.0.0.1:${port}`;
+  };
+  const [a, b, gone] = [await free(), await free(), await free()];
+  const one = netMesh(
+    a,
+    new Map([
+      ['b', b],
+      ['gone', gone],
+    ]),
+    systemClock,
+  );
+  const two = netMesh(b, new Map([['a', a]]), systemClock);
+  const got: Frame[] = [];
+  const arrived = new Promise<void>((resolve) =>
+    two.onFrame((f) => (got.push(f) === 3 ? resolve() : undefined)),
+  );
+  const refused = new Promise<string>((resolve) => one.onRefused(resolve));
+  const frame = (number: number): Frame => ({
+    from: 'a',
+    incarnation: 2 ** 47 - 1,
+    kind: FrameKind.Ping,
+    number,
+    term: (2n ** 64n - 1n).toString(),
+    holder: 'a',
+    holderAddress: a,
+    storeOk: true,
+    after: 0,
+    aborted: Array.from({ length: number * 1000 }, (_, i) => `req-${i}`),
+    last: 3,
+  });
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  for (const n of [1, 2, 3]) one.send('b', frame(n));
+  one.send('gone', frame(1));
+  await arrived;
+  assert.deepEqual(
+    got.map((f) => ({ ...f })),
+    [frame(1), frame(2), frame(3)],
+  );
+  assert.equal(await refused, 'gone');
+  one.close();
+  two.close();
+});
+
+test('the command line refuses what is wrong with one clear line and an exit code of its own', () => {
+  const main = fileURLToPath(new URL('../src/main.js', import.meta.url));
+  const bad = join(mkdtempSync(join(tmpdir(), 'gorseyoke-')), 'bad.toml');
+  writeFileSync(bad, 'member = 3\n');
+  const run = (...args: string[]): { code: number | null; err: string; out: string } => {
+    const r = spawnSync(process.execPath, [main, ...args], { encoding: 'utf8' });
+    return { code: r.status, err: r.stderr, out: r.stdout };
+  };
+  assert.match(run('--version').out, /^\d+\.\d+\.\d+\n$/);
+  assert.equal(run('--no-such').code, 2);
+  assert.deepEqual(
+    [run('--config', '/no/such.toml').code, run('--config', '/no/such.toml').err],
+    [3, 'gorseyoke: /no/such.toml: no such file\n'],
+  );
+  const checked = run('check', bad);
+  assert.equal(checked.code, 4);
+  assert.match(checked.err, /bad\.toml: member: /);
+  assert.equal(run('job', 'show', 'req-1', '--at', 'nowhere').code, 6);
+});
