--- a/test/breaches.test.ts
+++ b/test/breaches.test.ts
@@ -69,6 +69,11 @@
   });
 }
 
+test('a day on which nothing runs is noticed', async () => {
+  const { failures } = await runScenario('set capacity=0\nat 2 submit req-000001 red array\nuntil 20');
+  assert.ok(failures.some((f) => f.startsWith('nothing_ran')));
+});
+
 test('without a plant nothing is found', async () => {
   const { failures } = await runScenario(BASE);
   assert.deepEqual(failures, []);
--- a/test/standin/rules.ts
+++ b/test/standin/rules.ts
@@ -135,6 +135,10 @@
     }
   }
 
+  atEnd(): void {
+    if (this.accepted.size > 0 && this.starts === 0) this.breach('nothing_ran', 'no task was started');
+  }
+
   /** After every step. */
   check(): void {
     if (this.cancelTold.size === 0) return;
--- a/test/standin/scenario.ts
+++ b/test/standin/scenario.ts
@@ -202,6 +202,12 @@
         later(w[1], () => u.cloud.end(m));
       }
       return;
+    case 'slow':
+      for (const m of machineFor(u, w[0]!)) {
+        const worker = u.cloud.machines.get(m)?.worker;
+        if (worker) worker.slow = Number(w[1]);
+      }
+      return;
     case 'refuse-starts':
       for (const m of u.cloud.live()) if (m.worker) m.worker.refuseStarts = Number(w[0]);
       return;
@@ -303,6 +309,7 @@
   for (const n of u.nodes) u.world.after(u.random.next() * 200, () => u.boot(n.member));
   for (const a of p.acts) u.world.after(a.at * 1000, () => act(u, a.words));
   await u.run(p.until);
+  u.rules.atEnd();
   const failures = [...u.rules.broken];
   for (const e of p.expects) {
     const wrong = judge(u, e);
