--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -37,9 +37,6 @@
 const LIST_MS = 2000;
 const REFUSED_MS = 8000;
 const STATE_LOG_MS = 10_000;
-/** Estimates are often off by half; two and a half times the usual, on most tasks of a machine, is not chance. */
-const SLOW_FACTOR = 2.5;
-const SLOW_PAUSE_MS = 45_000;
 
 /** Rents for work that waits, returns what idles, and fences what can't be reached by returning it. */
 export class Fleet {
@@ -85,7 +82,6 @@
     this.watchCancelled(now);
     this.watchNotices(now);
     this.watchSilence(now);
-    this.watchSlow(now);
     this.logState(now);
     // Before the first whole list the fleet is not known: renting then would rent it twice.
     if (this.listed === 0 || this.standing === undefined) return;
@@ -383,26 +379,6 @@
     }
   }
 
-  /**
-   * A machine on which most tasks run far past what their class usually takes is slow, not unlucky: it gets no
-   * new work for a while, and what it has may end.
-   */
-  private watchSlow(now: SteadyMs): void {
-    for (const m of this.world.machines.values()) {
-      if (m.state !== 'up' || m.suspectUntil > now) continue;
-      let running = 0;
-      let late = 0;
-      for (const p of m.placements) {
-        if (p.ended || p.job.spec.kind === 'service' || p.runningSince === undefined) continue;
-        running++;
-        if ((now - p.runningSince) / 1000 > SLOW_FACTOR * this.estimates.of(p.job.spec)) late++;
-      }
-      if (late < 2 || late * 2 < running) continue;
-      m.suspectUntil = plus(now, SLOW_PAUSE_MS);
-      this.d.log.info('machine-slow', { machine: m.id, late, running });
-    }
-  }
-
   private async probe(m: Machine, quietMs: number, fence: number): Promise<void> {
     const { d } = this;
     const reply = m.address
