--- a/src/bookkeeping/cloud.ts
+++ b/src/bookkeeping/cloud.ts
@@ -24,7 +24,7 @@
 }
 
 const CALL_MS = 4000;
-const PAGE = 500;
+export const LIST_PAGE = 500;
 export const RETURN_MOST = 100;
 
 export class Cloud {
@@ -90,7 +90,7 @@
     const machines: ListedMachine[] = [];
     let after = '';
     for (;;) {
-      const reply = await this.call('GET', listPath(after, PAGE), undefined, Rank.Finish);
+      const reply = await this.call('GET', listPath(after, LIST_PAGE), undefined, Rank.Finish);
       if (!reply.ok) return reply;
       if (reply.value.status !== 200)
         return err({ kind: 'unavailable', why: `status ${reply.value.status}` });
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -55,6 +55,7 @@
   job: 'job/',
   end: 'end/',
   finish: 'finish/',
+  note: 'finished/',
   plan: 'plan/',
   receipt: 'receipt/',
   revision: 'revision/',
@@ -66,10 +67,11 @@
   epoch: key('term/epoch'),
   catalog: key('fleet/types'),
   standing: key('fleet/standing'),
-  images: (id: MachineId): StoreKey => key(Prefix.images + id),
+  images: (part: number): StoreKey => key(Prefix.images + pad(part, 3)),
   job: (id: JobId): StoreKey => key(Prefix.job + id),
   end: (id: JobId): StoreKey => key(Prefix.end + id),
   finish: (id: JobId, chunk: number): StoreKey => key(`${Prefix.finish}${id}/${pad(chunk, 3)}`),
+  note: (term: Term, number: number): StoreKey => key(Prefix.note + planId(term, number)),
   plan: (id: PlanId): StoreKey => key(Prefix.plan + id),
   receipt: (id: PlanId): StoreKey => key(Prefix.receipt + id),
   revision: (id: PlanId): StoreKey => key(Prefix.revision + id),
@@ -94,8 +96,15 @@
 /** Machines that stood before the service first ran: the operator's own, never returned for idling. */
 export const standingSchema = z.object({ machines: z.array(z.string()) });
 
-/** Images a machine was seen to hold, least recently used first: a hint for placement, never for safety. */
-export const imagesSchema = z.object({ images: z.array(z.object({ name: z.string(), gb: z.number() })) });
+/** Which machines were seen to hold an image: a hint for placement, never for safety. */
+export interface ImageNote {
+  readonly name: string;
+  readonly gb: number;
+  readonly on: readonly MachineId[];
+}
+export const imagesSchema = z
+  .object({ images: z.array(z.object({ name: z.string(), gb: z.number(), on: z.array(z.string()) })) })
+  .transform((w) => w as unknown as { images: ImageNote[] });
 
 // ---- rows -------------------------------------------------------------------------------------------
 
@@ -252,6 +261,16 @@
 export const finishSchema = z.object({ bits: z.string() });
 export const chunkOf = (index: number): number => Math.floor(index / CHUNK);
 
+/** A shared finish record: ends of tasks of many jobs in one change. Never edited. */
+export interface NoteEntry {
+  readonly job: JobId;
+  readonly tasks: string;
+}
+export const noteOf = (entries: readonly NoteEntry[]): { jobs: readonly NoteEntry[] } => ({ jobs: entries });
+export const noteSchema = z
+  .object({ jobs: z.array(z.object({ job: z.string(), tasks: z.string() })) })
+  .transform((w) => w as { jobs: NoteEntry[] });
+
 export class DoneSet {
   private readonly bytes: Uint8Array;
   count = 0;
--- a/src/bookkeeping/world.ts
+++ b/src/bookkeeping/world.ts
@@ -39,6 +39,8 @@
    * Such a start may run minutes later, so absence proves nothing until the worker obeys a higher token.
    */
   order: 'flying' | 'floating' | undefined;
+  /** The token it was sent under: a worker that obeys a higher one drops it. */
+  orderTerm: Term | undefined;
   /** True once a report showed the task under this session. */
   seen: boolean;
   state: TaskState | undefined;
@@ -64,11 +66,18 @@
   notBefore: SteadyMs;
   /** Machines that refused or failed a task of this job lately. */
   readonly avoid: Map<MachineId, SteadyMs>;
-  /** Finish records that exist in the store. */
+  /** Finish records of this job alone that exist in the store. */
   readonly finishChunks: Set<number>;
+  /** Shared finish records in the store that mention this job. */
+  readonly finishNotes: Set<StoreKey>;
   everStarted: boolean;
 }
 
+export interface Stranger {
+  readonly job: JobId;
+  readonly index: TaskIndex;
+}
+
 export interface Machine {
   readonly id: MachineId;
   address: Address | undefined;
@@ -93,8 +102,10 @@
   errors: number;
   idleSince: SteadyMs;
   readonly placements: Set<Placement>;
+  /** What its live placements take together, and how many they are. Kept by `World` alone. */
+  readonly used: { cpus: number; gpus: number; memoryGb: number; tasks: number; services: number };
   /** Tasks reported that no live plan put there and that have not exited. */
-  strangers: readonly { readonly job: JobId; readonly index: TaskIndex }[];
+  strangers: readonly Stranger[];
   /** A round that is being committed puts tasks here; it must not be returned as idle meanwhile. */
   rounds: number;
   /** Images seen running here, oldest first, with their sizes. */
@@ -125,15 +136,33 @@
   /** Keys that nothing needs any more, to be removed when there is time. */
   readonly garbage = new Set<StoreKey>();
 
-  /** Machines whose images changed since they were last written down. */
-  readonly imagesChanged = new Set<Machine>();
+  /** Some machine's images changed since they were last written down. */
+  imagesChanged = false;
   /** What earlier terms wrote down of machines not known here yet. */
-  readonly imagesKept = new Map<MachineId, readonly { readonly name: ImageName; readonly gb: number }[]>();
+  readonly imagesKept = new Map<MachineId, { name: ImageName; gb: number }[]>();
 
-  /** Machines gone whose note may be in the store. */
-  readonly imagesGone = new Set<MachineId>();
+  // Indexes, kept as the world changes: at a thousand machines nothing may walk them all per report or round.
+  /** What each team's live placements use. */
+  readonly use = new Map<TeamName, Use>();
+  /** Machines that hold an image or are fetching it for a task; cleaned when read. */
+  private readonly likely = new Map<ImageName, Set<Machine>>();
+  /** Placements whose worker was not told to stop them yet. */
+  readonly stopping = new Set<Placement>();
+  /** Machines with tasks that no live plan put there. */
+  readonly estranged = new Set<Machine>();
+  readonly noticed = new Set<Machine>();
+  /** Starts whose answer was lost; they may still run until their worker obeys a higher token. */
+  readonly floating = new Set<Placement>();
+  /** Live jobs that each shared finish record mentions; it is garbage when none is left. */
+  readonly finishNotes = new Map<StoreKey, Set<JobId>>();
+
+  /** The holder's own term; it rises with the token. */
+  constructor(public term: Term) {
+    this.since = term;
+  }
 
-  constructor(readonly term: Term) {}
+  /** The token at which this holder's knowledge began: nothing that it didn't send itself carries this or a higher one. */
+  readonly since: Term;
 
   addJob(row: Row, mark: Mark, acceptedAt: SteadyMs, cancelledAt: SteadyMs | undefined): Job {
     const job: Job = {
@@ -150,6 +179,7 @@
       notBefore: 0 as SteadyMs,
       avoid: new Map(),
       finishChunks: new Set(),
+      finishNotes: new Set(),
       everStarted: row.attempt > 0,
     };
     this.jobs.set(job.id, job);
@@ -185,13 +215,17 @@
       errors: 0,
       idleSince: now,
       placements: new Set(),
+      used: { cpus: 0, gpus: 0, memoryGb: 0, tasks: 0, services: 0 },
       strangers: [],
       rounds: 0,
       images: new Map(),
       returnAt: undefined,
       probedAt: undefined,
     };
-    for (const i of this.imagesKept.get(id) ?? []) machine.images.set(i.name, i.gb);
+    for (const i of this.imagesKept.get(id) ?? []) {
+      machine.images.set(i.name, i.gb);
+      this.holds(machine, i.name);
+    }
     this.machines.set(id, machine);
     return machine;
   }
@@ -215,6 +249,7 @@
       since: now,
       sentSeq: undefined,
       order: undefined,
+      orderTerm: undefined,
       seen: false,
       state: undefined,
       runningSince: undefined,
@@ -223,22 +258,80 @@
     };
     job.placements.set(index, placement);
     machine.placements.add(placement);
+    this.charge(placement, 1);
+    this.holds(machine, job.spec.image);
     return placement;
   }
 
+  private charge(p: Placement, sign: 1 | -1): void {
+    const { spec } = p.job;
+    const { used } = p.machine;
+    used.cpus += sign * spec.cpus;
+    used.gpus += sign * spec.gpus;
+    used.memoryGb += sign * spec.memoryGb;
+    used.tasks += sign;
+    if (spec.kind === 'service') used.services += sign;
+    const use = this.use.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    use.cpus += sign * spec.cpus;
+    use.gpus += sign * spec.gpus;
+    this.use.set(spec.team, use);
+    // Sums of fractions drift; an empty machine is empty.
+    if (used.tasks === 0) Object.assign(used, { cpus: 0, gpus: 0, memoryGb: 0 });
+  }
+
+  /** Asks for a placement to be stopped; an earlier, gentler wish gives way to a cancellation only. */
+  stop(p: Placement, graceS: number, why: string, at: SteadyMs): void {
+    if (p.stop && !(why === 'cancelled' && p.stop.why !== 'cancelled')) return;
+    p.stop = { graceS, why, at, ordered: false };
+    if (!p.ended) this.stopping.add(p);
+  }
+
+  float(p: Placement): void {
+    p.order = 'floating';
+    this.floating.add(p);
+  }
+
+  /** The order ran, was refused, or can't run any more. */
+  land(p: Placement): void {
+    p.order = undefined;
+    this.floating.delete(p);
+  }
+
+  /** Replaced in the books by a later plan, which had proof that it was gone. */
+  forgetPlacement(p: Placement): void {
+    if (!p.ended) this.charge(p, -1);
+    p.machine.placements.delete(p);
+    this.dropFromSets(p);
+  }
+
+  private dropFromSets(p: Placement): void {
+    this.unsettled.delete(p);
+    this.stopping.delete(p);
+    this.floating.delete(p);
+  }
+
+  setStrangers(machine: Machine, strangers: readonly Stranger[]): void {
+    machine.strangers = strangers;
+    if (strangers.length > 0) this.estranged.add(machine);
+    else this.estranged.delete(machine);
+  }
+
   /** Proof that the task is off its machine. The task is not free for another plan before it is settled. */
   end(p: Placement, how: NonNullable<Placement['ended']>['how'], now: SteadyMs): void {
     if (p.ended) return;
     // A floating start could still run after this end; only the machine's or session's end rules that out.
     if (p.order !== undefined && how !== 'gone') return;
     p.ended = { how, at: now };
+    this.charge(p, -1);
+    this.stopping.delete(p);
+    this.floating.delete(p);
     this.unsettled.add(p);
-    if (![...p.machine.placements].some((q) => !q.ended)) p.machine.idleSince = now;
+    if (p.machine.used.tasks === 0) p.machine.idleSince = now;
   }
 
   /** The store holds the end of this placement: the task is done, or waits again. */
   settle(p: Placement): void {
-    this.unsettled.delete(p);
+    this.dropFromSets(p);
     p.machine.placements.delete(p);
     if (p.job.placements.get(p.index) === p) p.job.placements.delete(p.index);
     if (p.index < p.job.cursor) p.job.cursor = p.index;
@@ -249,7 +342,8 @@
     const known = machine.images.delete(image);
     machine.images.set(image, gb);
     if (known) return;
-    this.imagesChanged.add(machine);
+    this.holds(machine, image);
+    this.imagesChanged = true;
     let sum = 0;
     for (const size of machine.images.values()) sum += size;
     for (const [oldest, size] of machine.images) {
@@ -259,6 +353,44 @@
     }
   }
 
+  private holds(machine: Machine, image: ImageName): void {
+    const all = this.likely.get(image);
+    if (all) all.add(machine);
+    else this.likely.set(image, new Set([machine]));
+  }
+
+  /** Machines that hold the image, or fetch it just now for a task that is to run there. */
+  *withImage(image: ImageName): IterableIterator<Machine> {
+    const all = this.likely.get(image);
+    if (!all) return;
+    for (const m of all) {
+      if (m.state !== 'gone' && (m.images.has(image) || fetches(m, image))) yield m;
+      else all.delete(m);
+    }
+  }
+
+  /** The job is over: shared finish records that mention no other live job are garbage. */
+  dropJob(job: Job): void {
+    this.jobs.delete(job.id);
+    for (const key of job.finishNotes) this.unmention(job, key);
+  }
+
+  mention(job: Job, key: StoreKey): void {
+    job.finishNotes.add(key);
+    const jobs = this.finishNotes.get(key);
+    if (jobs) jobs.add(job.id);
+    else this.finishNotes.set(key, new Set([job.id]));
+  }
+
+  unmention(job: Job, key: StoreKey): void {
+    job.finishNotes.delete(key);
+    const jobs = this.finishNotes.get(key);
+    jobs?.delete(job.id);
+    if (jobs && jobs.size > 0) return;
+    this.finishNotes.delete(key);
+    this.garbage.add(key);
+  }
+
   noteEnded(id: JobId): void {
     this.ended.add(id);
     if (this.ended.size <= ENDED_KEPT) return;
@@ -271,11 +403,16 @@
     for (const p of machine.placements) this.end(p, 'gone', now);
     machine.state = 'gone';
     this.machines.delete(machine.id);
-    this.imagesChanged.delete(machine);
-    this.imagesGone.add(machine.id);
+    this.noticed.delete(machine);
+    this.estranged.delete(machine);
   }
 }
 
+const fetches = (m: Machine, image: ImageName): boolean => {
+  for (const p of m.placements) if (!p.ended && p.job.spec.image === image) return true;
+  return false;
+};
+
 /** Waiting tasks in order, at most `limit`. */
 export function waitingTasks(job: Job, limit: number): TaskIndex[] {
   const out: TaskIndex[] = [];
@@ -297,24 +434,21 @@
   gpus: number;
 }
 
+/** Tasks of the job that wait for a place. */
+export const waitingCount = (job: Job): number => job.spec.tasks - job.done.count - job.placements.size;
+
 /** The quota ledger: what each team's tasks use, counting all that is possibly on a machine. */
 export function teamUse(world: World): Map<TeamName, Use> {
   const use = new Map<TeamName, Use>();
-  const add = (spec: JobSpec, n: number): void => {
-    const u = use.get(spec.team) ?? { cpus: 0, gpus: 0 };
-    u.cpus += n * spec.cpus;
-    u.gpus += n * spec.gpus;
-    use.set(spec.team, u);
-  };
-  for (const job of world.jobs.values()) {
-    let n = 0;
-    for (const p of job.placements.values()) if (!p.ended) n++;
-    if (n > 0) add(job.spec, n);
-  }
-  for (const machine of world.machines.values()) {
+  for (const [team, u] of world.use) use.set(team, { ...u });
+  for (const machine of world.estranged) {
     for (const s of machine.strangers) {
-      const job = world.jobs.get(s.job);
-      if (job) add(job.spec, 1);
+      const spec = world.jobs.get(s.job)?.spec;
+      if (!spec) continue;
+      const u = use.get(spec.team) ?? { cpus: 0, gpus: 0 };
+      u.cpus += spec.cpus;
+      u.gpus += spec.gpus;
+      use.set(spec.team, u);
     }
   }
   return use;
--- a/src/coordination/command.ts
+++ b/src/coordination/command.ts
@@ -1,7 +1,6 @@
 import { plus, type Clock, type SteadyMs } from '../transport/clock.js';
 import type { Metrics } from '../transport/metrics.js';
 import type { Log } from '../transport/log.js';
-import type { Term } from '../protocol/ids.js';
 import type { Command, Report, ReportedTask } from '../protocol/workers.js';
 import type { Estimates } from '../bookkeeping/estimates.js';
 import type { Machine, Placement, World } from '../bookkeeping/world.js';
@@ -10,7 +9,6 @@
   readonly world: World;
   readonly clock: Clock;
   readonly log: Log;
-  readonly term: Term;
   readonly estimates: Estimates;
   readonly metrics: Metrics;
   /** Starts follow a receipt, but only while this node surely holds the term. */
@@ -59,12 +57,13 @@
   }
   if (r.noticeS !== null && machine.noticeAt === undefined) {
     machine.noticeAt = plus(now, r.noticeS * 1000);
+    world.noticed.add(machine);
     log.info('machine-noticed', { machine: machine.id, inS: r.noticeS });
     ctx.wake();
   }
   // Only a report that was made after the worker took this term's token shows all that an older holder's
   // answers may have started: from then on the worker drops them.
-  const trusted = r.token >= ctx.term || machine.own;
+  const trusted = machine.trusted || r.token >= world.since || machine.own;
   if (trusted && !machine.trusted) {
     machine.trusted = true;
     ctx.wake();
@@ -86,7 +85,7 @@
     log.info('strangers-found', { machine: machine.id, task: `${strangers[0]!.job}/${strangers[0]!.index}` });
   }
   if (strangers.length === 0 && machine.strangers.length > 0) ctx.wake();
-  machine.strangers = strangers;
+  world.setStrangers(machine, strangers);
   if (!trusted) return commands;
   for (const p of machine.placements) {
     if (p.ended || reported.has(p) || p.session !== r.session) continue;
@@ -126,7 +125,7 @@
   }
   if (machine.session > 0n) ctx.log.info('worker-session', { machine: machine.id, session: r.session });
   machine.session = r.session;
-  machine.strangers = [];
+  ctx.world.setStrangers(machine, []);
   ctx.wake();
 }
 
@@ -139,6 +138,8 @@
 ): void {
   const base = { job: p.job.id, index: p.index, attempt: p.attempt };
   const { machine } = p;
+  // The worker has this attempt, so the one order that was sent for it has run.
+  if (p.order !== undefined) ctx.world.land(p);
   if (task.state === 'exited') {
     if (p.ended) return; // Its forget follows once the store holds the end.
     const how = task.cause ?? 'error';
@@ -202,8 +203,12 @@
   commands: Command[],
 ): void {
   const base = { job: p.job.id, index: p.index, attempt: p.attempt };
-  // A start is on its way to the worker itself: neither its absence nor another start means anything yet.
-  if (p.order !== undefined) return;
+  // A start is on its way to the worker itself: neither its absence nor another start means anything, until
+  // the worker obeys a higher token than the start carries.
+  if (p.order !== undefined) {
+    if (p.orderTerm === undefined || r.token <= p.orderTerm) return;
+    ctx.world.land(p);
+  }
   if (p.seen) {
     // It was there and isn't any more, in a newer report of the same session.
     ctx.log.info('task-vanished', { task: `${p.job.id}/${p.index}`, machine: p.machine.id });
--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet-planner.ts
@@ -3,7 +3,9 @@
 import type { MachineId, TypeName, ZoneName } from '../protocol/ids.js';
 import type { Estimates } from '../bookkeeping/estimates.js';
 import type { Job, Machine, World } from '../bookkeeping/world.js';
+import type { JobSpec } from '../protocol/jobs.js';
 import { fitsType, roomFor, zoneAllowed, type Unplaced } from './planner.js';
+import { Releases } from './releases.js';
 
 export interface FleetSnapshot {
   readonly now: SteadyMs;
@@ -46,85 +48,94 @@
 export const LOST_BOOT = 4;
 /** A machine that is up is given so long to report under a new term before others are rented in its place. */
 const UNHEARD_MS = 10_000;
+/** Machines in one request at most. */
+const RENT_MOST = 50;
 /** How long an idle machine is kept, in nominal boot times. */
 const IDLE_BOOTS = 0.3;
 
-interface Virtual {
-  readonly type: MachineType;
-  readonly zone: ZoneName;
-  readonly spot: boolean;
+/** Machines on their way, or up but not heard yet: how much room of each kind will be there soon. */
+class Coming {
+  private readonly pools = new Map<string, { readonly kind: Kind; empty: number; readonly open: Space[] }>();
+
+  add(kind: Kind, count: number): void {
+    this.pool(kind).empty += count;
+  }
+
+  addPart(kind: Kind, space: Space): void {
+    this.pool(kind).open.push(space);
+  }
+
+  private pool(kind: Kind): { readonly kind: Kind; empty: number; readonly open: Space[] } {
+    const key = kindKey(kind.type.name, kind.zone, kind.spot);
+    let pool = this.pools.get(key);
+    if (!pool) this.pools.set(key, (pool = { kind, empty: 0, open: [] }));
+    return pool;
+  }
+
+  /** How many of the job's tasks find a place. */
+  take(job: Job, zones: Map<ZoneName, number>, count: number): number {
+    const { spec } = job;
+    let placed = 0;
+    for (const pool of this.pools.values()) {
+      const { kind, open } = pool;
+      if (placed >= count) break;
+      if ((kind.spot && !spec.spot) || !fitsType(spec, kind.type)) continue;
+      for (let i = open.length - 1; i >= 0 && placed < count; i--) {
+        const space = open[i]!;
+        placed += fill(spec, zones, space, kind.zone, count - placed);
+        if (kind.type.gpus > 0 && space.gpus <= 0) open.splice(i, 1);
+      }
+      while (pool.empty > 0 && placed < count) {
+        const space = { cpus: kind.type.cpus, gpus: kind.type.gpus, memoryGb: kind.type.memoryGb };
+        const n = fill(spec, zones, space, kind.zone, count - placed);
+        if (n === 0) break;
+        pool.empty--;
+        placed += n;
+        if (space.gpus > 0 || kind.type.gpus === 0) open.push(space);
+      }
+    }
+    return placed;
+  }
+}
+
+interface Space {
   cpus: number;
   gpus: number;
   memoryGb: number;
 }
 
-const empty = (type: MachineType, zone: ZoneName, spot: boolean): Virtual => ({
-  type,
-  zone,
-  spot,
-  cpus: type.cpus,
-  gpus: type.gpus,
-  memoryGb: type.memoryGb,
-});
+interface Kind {
+  readonly type: MachineType;
+  readonly zone: ZoneName;
+  readonly spot: boolean;
+}
 
-function fillFrom(job: Job, zones: Map<ZoneName, number>, v: Virtual, count: number): number {
+function fill(
+  spec: JobSpec,
+  zones: Map<ZoneName, number>,
+  space: Space,
+  zone: ZoneName,
+  most: number,
+): number {
   let placed = 0;
-  const { spec } = job;
-  if ((v.spot && !spec.spot) || !fitsType(spec, v.type)) return 0;
-  while (placed < count && roomFor(v, spec) && zoneAllowed(spec, zones, v.zone)) {
-    v.cpus -= spec.cpus;
-    v.gpus -= spec.gpus;
-    v.memoryGb -= spec.memoryGb;
-    zones.set(v.zone, (zones.get(v.zone) ?? 0) + 1);
+  while (placed < most && roomFor(space, spec) && zoneAllowed(spec, zones, zone)) {
+    space.cpus -= spec.cpus;
+    space.gpus -= spec.gpus;
+    space.memoryGb -= spec.memoryGb;
+    zones.set(zone, (zones.get(zone) ?? 0) + 1);
     placed++;
   }
   return placed;
 }
 
-/** Room that running work will give back: one place of the size of the task that holds it now. */
-interface Slot {
-  readonly machine: Machine;
-  readonly cpus: number;
-  readonly gpus: number;
-  readonly memoryGb: number;
-  /** Seconds from now. */
-  freeIn: number;
-}
-
-function slotsOf(s: FleetSnapshot): Slot[] {
-  const slots: Slot[] = [];
-  for (const m of s.world.machines.values()) {
-    if (m.state !== 'up' || m.noticeAt !== undefined || m.suspectUntil > s.now) continue;
-    const type = s.types.get(m.type);
-    if (!type) continue;
-    let { cpus, memoryGb } = type;
-    for (const p of m.placements) {
-      if (p.ended) continue;
-      cpus -= p.job.spec.cpus;
-      memoryGb -= p.job.spec.memoryGb;
-    }
-    for (const p of m.placements) {
-      const { spec } = p.job;
-      if (p.ended || (spec.kind === 'service' && !p.stop)) continue;
-      const ran = p.runningSince === undefined ? 0 : (s.now - p.runningSince) / 1000;
-      const freeIn = p.stop ? spec.saveS : s.estimates.rest(spec, ran);
-      slots.push({
-        machine: m,
-        cpus: spec.cpus + cpus,
-        gpus: spec.gpus,
-        memoryGb: spec.memoryGb + memoryGb,
-        freeIn,
-      });
-    }
-  }
-  return slots.sort((a, b) => a.freeIn - b.freeIn);
-}
+/** Nothing is rented less than this far ahead of what running work gives back. */
+const HORIZON_S = 600;
 
 /**
  * How many of the job's waiting tasks will find room that is given back in time. Renting for them would only
  * bring a machine that comes later, without the image, and then stands idle.
  */
-function servedBySlots(job: Job, count: number, slots: Slot[], s: FleetSnapshot): number {
+function servedByReleases(job: Job, count: number, releases: Releases, s: FleetSnapshot): number {
   const { spec } = job;
   if (spec.tasks > 1 && spec.kind === 'gang') return 0;
   const fitting = [...s.types.values()].filter((t) => fitsType(spec, t));
@@ -139,26 +150,12 @@
     boot + fetch,
     within === undefined || spec.kind !== 'array' ? 0 : within * 0.9 - age - runS,
   );
-  let served = 0;
-  for (const slot of slots) {
-    if (served >= count) break;
-    if (slot.gpus < spec.gpus || slot.cpus < spec.cpus || slot.memoryGb < spec.memoryGb) continue;
-    if ((slot.machine.spot && !spec.spot) || (spec.types !== null && !spec.types.includes(slot.machine.type)))
-      continue;
-    if (spec.zone !== null && spec.zone !== slot.machine.zone) continue;
-    const ready = slot.machine.images.has(spec.image) ? 0 : fetch;
-    while (slot.freeIn + ready <= latest && served < count) {
-      served++;
-      slot.freeIn += spec.kind === 'service' ? Infinity : runS;
-    }
-  }
-  slots.sort((a, b) => a.freeIn - b.freeIn);
-  return served;
+  return releases.take(spec, count, latest, fetch);
 }
 
 /** What to rent for the work that found no room, and what to give back. */
 export function planFleet(s: FleetSnapshot): FleetPlan {
-  const virtual: Virtual[] = [];
+  const coming = new Coming();
   const perZone = new Map<string, number>();
   const count = (type: TypeName, zone: ZoneName, n: number): void => {
     const k = `${type}/${zone}`;
@@ -168,47 +165,38 @@
     count(m.type, m.zone, 1);
     const type = s.types.get(m.type);
     if (!type) continue;
-    if (m.state === 'booting' && (s.now - m.rentedAt) / 1000 < LATE_BOOT * type.bootS) {
-      virtual.push(empty(type, m.zone, m.spot));
-    }
+    const kind = { type, zone: m.zone, spot: m.spot };
+    if (m.state === 'booting' && (s.now - m.rentedAt) / 1000 < LATE_BOOT * type.bootS) coming.add(kind, 1);
     // Up, but not heard under this term yet: its room is there in a moment, after a take-over above all.
     if (m.state === 'up' && !m.trusted && s.now - Math.max(m.lastReport ?? 0, m.upSince) < UNHEARD_MS) {
-      const v = empty(type, m.zone, m.spot);
-      for (const p of m.placements) {
-        if (p.ended) continue;
-        v.cpus -= p.job.spec.cpus;
-        v.gpus -= p.job.spec.gpus;
-        v.memoryGb -= p.job.spec.memoryGb;
-      }
-      virtual.push(v);
+      coming.addPart(kind, {
+        cpus: type.cpus - m.used.cpus,
+        gpus: type.gpus - m.used.gpus,
+        memoryGb: type.memoryGb - m.used.memoryGb,
+      });
     }
   }
   for (const p of s.pending) {
     const type = s.types.get(p.type);
     count(p.type, p.zone, p.count);
-    for (let i = 0; type && i < p.count; i++) virtual.push(empty(type, p.zone, p.spot));
+    if (type) coming.add({ type, zone: p.zone, spot: p.spot }, p.count);
   }
 
-  const slots = slotsOf(s);
+  const wanted = s.unplaced.some((u) => u.reason === 'no room');
+  const releases = wanted ? new Releases(s.world, s.types, s.estimates, s.now, HORIZON_S) : undefined;
   const rents = new Map<string, { type: TypeName; zone: ZoneName; spot: boolean; count: number }>();
   for (const u of s.unplaced) {
-    if (u.reason !== 'no room') continue;
+    if (u.reason !== 'no room' || !releases) continue;
     let left = u.count;
     const zones = new Map<ZoneName, number>();
     for (const p of u.job.placements.values()) {
       if (!p.ended) zones.set(p.machine.zone, (zones.get(p.machine.zone) ?? 0) + 1);
     }
-    left -= servedBySlots(u.job, left, slots, s);
-    for (const v of virtual) left -= fillFrom(u.job, zones, v, left);
+    left -= servedByReleases(u.job, left, releases, s);
+    if (left > 0) left -= coming.take(u.job, zones, left);
     while (left > 0) {
-      const choice = choose(u.job, left, zones, s, perZone);
+      const choice = choose(u.job, left, zones, s, perZone, rents);
       if (!choice) break;
-      const fresh = empty(choice.type, choice.zone, choice.spot);
-      const placed = fillFrom(u.job, zones, fresh, left);
-      if (placed === 0) break;
-      left -= placed;
-      virtual.push(fresh);
-      count(choice.type.name, choice.zone, 1);
       const key = kindKey(choice.type.name, choice.zone, choice.spot);
       const rent = rents.get(key) ?? {
         type: choice.type.name,
@@ -216,9 +204,13 @@
         spot: choice.spot,
         count: 0,
       };
-      if (rent.count >= 50) break;
+      coming.add(choice, 1);
+      const placed = coming.take(u.job, zones, left);
       rent.count++;
       rents.set(key, rent);
+      count(choice.type.name, choice.zone, 1);
+      if (placed === 0) break;
+      left -= placed;
     }
   }
   return { rent: [...rents.values()], giveBack: idleMachines(s) };
@@ -230,6 +222,7 @@
   zones: ReadonlyMap<ZoneName, number>,
   s: FleetSnapshot,
   perZone: ReadonlyMap<string, number>,
+  rents: ReadonlyMap<string, { readonly count: number }>,
 ): { type: MachineType; zone: ZoneName; spot: boolean } | undefined {
   let best: { type: MachineType; zone: ZoneName; spot: boolean; cost: number; machines: number } | undefined;
   for (const type of s.types.values()) {
@@ -246,7 +239,9 @@
     for (const zone of type.zones) {
       if (!zoneAllowed(spec, zones, zone)) continue;
       for (const spot of spec.spot ? [true, false] : [false]) {
-        if ((s.refusedUntil.get(kindKey(type.name, zone, spot)) ?? 0) > s.now) continue;
+        const key = kindKey(type.name, zone, spot);
+        if ((s.refusedUntil.get(key) ?? 0) > s.now) continue;
+        if ((rents.get(key)?.count ?? 0) >= RENT_MOST) continue;
         const cost = (spot ? type.spotPrice : type.price) / useful;
         const machines = perZone.get(`${type.name}/${zone}`) ?? 0;
         if (
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -4,13 +4,13 @@
 import type { Log } from '../transport/log.js';
 import { jitter, type Random } from '../transport/random.js';
 import type { Hire, ListedMachine } from '../protocol/cloud.js';
-import { NO_MARK, type MachineId, type TeamName } from '../protocol/ids.js';
+import { NO_MARK, type MachineId, type TeamName, type ZoneName } from '../protocol/ids.js';
 import type { Operator } from '../protocol/operator.js';
 import type { Settings, TeamLimits } from '../protocol/settings.js';
 import { Paths } from '../protocol/wire.js';
 import { fits, Keys, seal, standingSchema, unseal } from '../bookkeeping/records.js';
 import type { Store } from '../bookkeeping/store.js';
-import { RETURN_MOST, type Cloud } from '../bookkeeping/cloud.js';
+import { LIST_PAGE, RETURN_MOST, type Cloud } from '../bookkeeping/cloud.js';
 import type { Estimates } from '../bookkeeping/estimates.js';
 import type { Machine, World } from '../bookkeeping/world.js';
 import { kindKey, LOST_BOOT, planFleet } from './fleet-planner.js';
@@ -34,7 +34,10 @@
 }
 
 const TICK_MS = 500;
+/** Between two lists, for each page of the last: a big fleet's list is many calls. */
 const LIST_MS = 2000;
+/** Looks at silent machines per tick: a cut zone is hundreds. */
+const MOST_LOOKS = 40;
 const REFUSED_MS = 8000;
 const STATE_LOG_MS = 10_000;
 
@@ -267,7 +270,8 @@
         if (this.standing === undefined && d.term.canDecide())
           await this.learnStanding(result.value.machines);
       }
-      await sleep(d.clock, jitter(d.random, LIST_MS));
+      const pages = result.ok ? Math.ceil((result.value.machines.length + 1) / LIST_PAGE) : 1;
+      await sleep(d.clock, jitter(d.random, LIST_MS * pages));
     }
   }
 
@@ -315,11 +319,7 @@
     }
     for (const [id, at] of this.gone)
       if (now - at > 10 * lagMs + 60_000 && !present.has(id)) this.gone.delete(id);
-    if (now - this.since > 60_000) {
-      // Notes on machines that went while nobody held the term.
-      for (const id of world.imagesKept.keys()) if (!world.machines.has(id)) world.imagesGone.add(id);
-      world.imagesKept.clear();
-    }
+    if (now - this.since > 60_000) world.imagesKept.clear();
     if (failed.length > 0) void this.giveBack(failed, 'failed');
   }
 
@@ -340,42 +340,77 @@
   }
 
   private watchNotices(now: SteadyMs): void {
-    for (const m of this.world.machines.values()) {
-      if (m.noticeAt === undefined || m.state !== 'up') continue;
+    for (const m of this.world.noticed) {
+      if (m.state !== 'up') continue;
       for (const p of m.placements) {
         if (p.ended || p.stop) continue;
         const { spec } = p.job;
         // What can't save may as well run on: it could be done before the machine goes.
         if (spec.kind === 'array' && spec.checkpointS === 0) continue;
         const all = spec.kind === 'gang' ? [...p.job.placements.values()] : [p];
-        for (const q of all) q.stop ??= { graceS: graceOf(spec), why: 'notice', at: now, ordered: false };
+        for (const q of all) this.world.stop(q, graceOf(spec), 'notice', now);
         this.d.log.info('task-moved', { task: `${p.job.id}/${p.index}`, machine: m.id, why: 'notice' });
       }
     }
   }
 
+  /** Silent machines that didn't answer a look either, to be returned together. */
+  private readonly fenced = new Set<MachineId>();
+
   /**
    * Silence proves nothing: another node may be renewing the worker's lease. A machine that is silent and
-   * doesn't answer a look either is fenced by returning it.
+   * doesn't answer a look either is fenced by returning it. What else is silent says whose fault it is: a
+   * machine alone is dead or hangs; most of a zone is cut off, and is back in a while, but its replicas end with
+   * their leases, so only machines with replicas are given up before; all zones at once point at this node's
+   * own network, and then only machines past any lease are given up.
    */
   private watchSilence(now: SteadyMs): void {
     const { d, world } = this;
+    const { reportS, leaseS } = d.settings.workers;
     const fence =
-      d.operator.silentFenceS > 0
-        ? d.operator.silentFenceS * 1000
-        : Math.max(4 * d.settings.workers.reportS * 1000, 8000);
-    const up = [...world.machines.values()].filter((m) => m.state === 'up');
+      d.operator.silentFenceS > 0 ? d.operator.silentFenceS * 1000 : Math.max(2500 * reportS, 12_000);
+    const pastLease = 1.5 * fence + leaseS * 1000;
     const quiet = (m: Machine): number => now - Math.max(m.lastReport ?? 0, m.upSince, this.since);
-    const silent = up.filter((m) => quiet(m) > fence);
-    // Many at once point at this node's own network: then only those past their lease are given up.
-    const many = silent.length > 2 && silent.length * 3 > up.length;
-    for (const m of silent) {
-      if (this.returning.has(m.id)) continue;
-      if (many && quiet(m) < 1.5 * fence + d.settings.workers.leaseS * 1000) continue;
-      if (m.placements.size === 0 && m.strangers.length === 0 && quiet(m) < 3 * fence) continue;
-      if (m.probedAt !== undefined && now - m.probedAt < 3000) continue;
-      m.probedAt = now;
-      void this.probe(m, quiet(m), fence);
+    const zones = new Map<ZoneName, { up: number; silent: Machine[] }>();
+    for (const m of world.machines.values()) {
+      if (m.state !== 'up') continue;
+      const zone = zones.get(m.zone) ?? { up: 0, silent: [] };
+      zones.set(m.zone, zone);
+      zone.up++;
+      if (quiet(m) > fence) zone.silent.push(m);
+    }
+    const isCut = (z: { up: number; silent: Machine[] }): boolean =>
+      z.silent.length > 2 && z.silent.length * 3 > z.up;
+    const cut = [...zones.values()].filter(isCut).length;
+    const everywhere = cut > 1 && cut * 2 > zones.size;
+    let looks = MOST_LOOKS;
+    for (const zone of zones.values()) {
+      const inCut = isCut(zone);
+      zone.silent.sort((a, b) => b.used.services - a.used.services);
+      for (const m of zone.silent) {
+        if (looks <= 0) break;
+        if (this.returning.has(m.id) || this.fenced.has(m.id)) continue;
+        const patience = !inCut
+          ? fence
+          : !everywhere && m.used.services > 0
+            ? Math.max(fence, leaseS * 850)
+            : pastLease;
+        if (quiet(m) < patience) continue;
+        if (m.placements.size === 0 && m.strangers.length === 0 && quiet(m) < 3 * fence) continue;
+        if (m.probedAt !== undefined && now - m.probedAt < 3000) continue;
+        m.probedAt = now;
+        looks--;
+        void this.probe(m, quiet(m), fence);
+      }
+    }
+    if (this.fenced.size > 0) {
+      const names = [...this.fenced].slice(0, RETURN_MOST);
+      for (const id of names) this.fenced.delete(id);
+      // Some may have spoken since.
+      void this.giveBack(
+        names.filter((id) => world.machines.get(id)?.probedAt !== undefined),
+        'silent',
+      );
     }
   }
 
@@ -390,6 +425,6 @@
     // Alive but unable to reach this node: its tasks run on, up to the lease that nobody renews.
     if (answers && quietMs < fence + d.settings.workers.leaseS * 1000) return;
     d.log.info('machine-silent', { machine: m.id, quietMs: Math.round(quietMs), answers });
-    await this.giveBack([m.id], 'silent');
+    this.fenced.add(m.id);
   }
 }
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -3,9 +3,10 @@
 import type { Log } from '../transport/log.js';
 import type { Metrics } from '../transport/metrics.js';
 import { jitter, type Random } from '../transport/random.js';
+import type { Result } from '../transport/result.js';
 import { decodeAs } from '../protocol/codec.js';
-import type { Address, Attempt, JobId, Mark } from '../protocol/ids.js';
-import type { Change } from '../protocol/state.js';
+import type { Address, Attempt, JobId, MachineId, Mark, ZoneName } from '../protocol/ids.js';
+import type { Change, Condition } from '../protocol/state.js';
 import type { Operator } from '../protocol/operator.js';
 import type { Settings } from '../protocol/settings.js';
 import { Paths } from '../protocol/wire.js';
@@ -17,18 +18,27 @@
   planId,
   rangesOf,
   seal,
+  type ImageNote,
   type Plan,
   type PlanGroup,
   type PlanJob,
   type Row,
+  type Sealed,
 } from '../bookkeeping/records.js';
 import { Estimates } from '../bookkeeping/estimates.js';
-import type { Store } from '../bookkeeping/store.js';
+import type { Store, StoreFailure, TxnOutcome } from '../bookkeeping/store.js';
 import type { Job, Machine, Placement, World } from '../bookkeeping/world.js';
 import { handleOrderReply, handleReport, type CommandContext } from './command.js';
 import { Fleet, type FleetDeps } from './fleet.js';
 import { loadWorld, steadyOf } from './load.js';
-import { planRound, startAims, type PlannedTask, type StartAims, type Unplaced } from './planner.js';
+import {
+  planRound,
+  startAims,
+  withinGuarantee,
+  type PlannedTask,
+  type StartAims,
+  type Unplaced,
+} from './planner.js';
 import { nextSettlement } from './settle.js';
 import type { HeldTerm, TermKeeper } from './term.js';
 import type { TypeBook } from './types.js';
@@ -48,6 +58,10 @@
 
 /** How long the worker may take over a direct command; its answer usually takes milliseconds. */
 const ORDER_MS = 1500;
+/** How old the holder's view of who is within the guarantees may be. */
+const WITHIN_MS = 300;
+/** Image notes are worth a handful of changes this often. */
+const IMAGES_MS = 20_000;
 
 /** All that one term's holder does. It lives for one term only: a new term starts from the store again. */
 export class Holder {
@@ -56,6 +70,7 @@
   private dirty = true;
   private wakeUp: (() => void) | undefined;
   private round = 0;
+  private notes = 0;
   fleet: Fleet | undefined;
   unplaced: readonly Unplaced[] = [];
   private readonly estimates = new Estimates();
@@ -67,6 +82,8 @@
     private readonly held: HeldTerm,
   ) {
     this.aims = startAims(d.settings.objectives);
+    // Workers need a moment to find a new holder.
+    this.heardAt = (d.clock.now() + 1250 * d.settings.workers.reportS) as SteadyMs;
   }
 
   stop(): void {
@@ -108,6 +125,7 @@
     void this.roundLoop();
     void this.settleLoop();
     void this.garbageLoop();
+    void this.watchLoop();
     void this.fleet.run();
   }
 
@@ -146,9 +164,7 @@
     const now = this.d.clock.now();
     job.cancelledAt = now;
     this.d.log.info('job-cancelled', { job: job.id, tasks: job.placements.size });
-    for (const p of job.placements.values()) {
-      p.stop = { graceS: 0, why: 'cancelled', at: now, ordered: false };
-    }
+    for (const p of job.placements.values()) this.world?.stop(p, 0, 'cancelled', now);
     this.wake();
   }
 
@@ -160,6 +176,8 @@
 
   onReport(report: Report): readonly Command[] {
     const { world } = this;
+    this.heardAt = this.d.clock.now();
+    this.zoneHeard.set(report.zone, this.heardAt);
     if (!world) return [];
     return handleReport(this.context(world), report);
   }
@@ -170,7 +188,6 @@
       world,
       clock: d.clock,
       log: d.log,
-      term: this.held.term,
       estimates: this.estimates,
       metrics: d.metrics,
       cacheGb: (m) => d.types.all().get(m.type)?.cacheGb ?? Infinity,
@@ -179,6 +196,42 @@
     };
   }
 
+  // ---- who is heard ---------------------------------------------------------------------------------
+
+  private heardAt: SteadyMs;
+  private readonly zoneHeard = new Map<ZoneName, SteadyMs>();
+
+  /**
+   * Zones with many machines from which nothing has come for many times their usual gap: likely cut off, known
+   * long before any one machine is late. Nothing new goes there, and no direct start that might float.
+   */
+  private quietZones(now: SteadyMs): ReadonlySet<ZoneName> {
+    const up = new Map<ZoneName, number>();
+    for (const m of this.world?.machines.values() ?? []) {
+      if (m.state === 'up' && m.lastReport !== undefined) up.set(m.zone, (up.get(m.zone) ?? 0) + 1);
+    }
+    const quiet = new Set<ZoneName>();
+    for (const [zone, n] of up) {
+      if (n < 5) continue;
+      const gapMs = (this.d.settings.workers.reportS * 1000) / n;
+      if (now - (this.zoneHeard.get(zone) ?? 0) > Math.max(1000, 15 * gapMs)) quiet.add(zone);
+    }
+    return quiet;
+  }
+
+  /**
+   * A holder that no worker reaches any more, while it holds the store, would let every lease run out: another
+   * node may be reached. Judged by all machines together, in far less time than a lease.
+   */
+  private isDeaf(now: SteadyMs): boolean {
+    const { reportS, leaseS } = this.d.settings.workers;
+    let up = 0;
+    for (const m of this.world?.machines.values() ?? []) if (m.state === 'up') up++;
+    if (up < 2) return false;
+    const windowMs = Math.min(leaseS * 400, Math.max(2500, (12_000 * reportS) / up));
+    return now - this.heardAt > windowMs;
+  }
+
   // ---- direct commands ------------------------------------------------------------------------------
 
   private ordersFrom = 0 as SteadyMs;
@@ -195,7 +248,7 @@
     if (!world || address === undefined || lastReport === undefined || !machine.trusted) return;
     // A machine that is late with its report is likely to leave the answer open.
     const lively = now - lastReport < d.settings.workers.reportS * 1500 && now >= this.ordersFrom;
-    if (!lively || !d.term.canDecide() || machine.state !== 'up') return;
+    if (!lively || this.quiet.has(machine.zone) || !d.term.canDecide() || machine.state !== 'up') return;
     const usable = starts.filter(
       (p) => !p.ended && !p.stop && p.session === session && p.sentSeq === undefined,
     );
@@ -205,18 +258,26 @@
       ...stops.map((p): Command => ({ op: 'stop', ...name(p), graceS: p.stop?.graceS ?? 0 })),
       ...usable.map((p): Command => ({ op: 'start', ...name(p) })),
     ];
-    for (const p of usable) p.order = 'flying';
+    for (const p of usable) {
+      p.order = 'flying';
+      p.orderTerm = this.held.term;
+    }
     void this.sendOrder(world, machine, address, usable, encodeCommands(this.held.term, commands, session));
   }
 
   /** Stops that no worker was told yet. A late stop only ever meets the attempt it was meant for. */
   private orderStops(world: World): void {
-    for (const m of world.machines.values()) {
-      const stops = [...m.placements].filter((p) => p.stop && !p.stop.ordered && !p.ended && p.seen);
-      if (stops.length === 0) continue;
-      for (const p of stops) if (p.stop) p.stop.ordered = true;
-      this.order(m, [], stops);
+    const byMachine = new Map<Machine, Placement[]>();
+    for (const p of world.stopping) {
+      if (!p.seen) continue;
+      world.stopping.delete(p);
+      if (!p.stop || p.ended) continue;
+      p.stop.ordered = true;
+      const list = byMachine.get(p.machine);
+      if (list) list.push(p);
+      else byMachine.set(p.machine, [p]);
     }
+    for (const [machine, stops] of byMachine) this.order(machine, [], stops);
   }
 
   private async sendOrder(
@@ -238,16 +299,98 @@
       status === 400 ||
       (!reply.ok && reply.error.kind === 'refused');
     if (!clear && starts.length > 0) {
-      for (const p of starts) p.order = 'floating';
+      // Possibly on its machine until that worker shows it, or obeys a higher token. Only this machine's
+      // work is held back by it, so the term need not rise at once.
+      for (const p of starts) if (p.order === 'flying' && !p.ended) world.float(p);
       d.log.info('order-unanswered', { machine: machine.id, starts: starts.length, status });
-      return d.term.rise('a start without an answer');
+      return;
     }
-    for (const p of starts) p.order = undefined;
+    for (const p of starts) world.land(p);
     if (report?.ok) handleOrderReply(this.context(world), machine, report.value);
     else if (starts.length > 0) d.log.info('order-refused', { machine: machine.id, status });
     // What was stopped or ended meanwhile is dealt with at the next report.
   }
 
+  // ---- writes ---------------------------------------------------------------------------------------
+
+  private writing = 0;
+  private idle: (() => void) | undefined;
+  private raising: Promise<void> | undefined;
+  private raisedAt = 0 as SteadyMs;
+  /** A write's answer was lost: what this holder knows may be behind the store, until the term rises. */
+  private unclear = false;
+
+  /** Every write of the holder goes through here: it conditions on the term, and waits while the token rises. */
+  private async write(
+    conditions: readonly Condition[],
+    changes: readonly Change[],
+    rank: Rank,
+  ): Promise<Result<TxnOutcome, StoreFailure>> {
+    while (this.raising) await this.raising;
+    this.writing++;
+    try {
+      const outcome = await this.d.store.txn(
+        [{ key: Keys.holder, mark: this.held.mark }, ...conditions],
+        changes,
+        rank,
+      );
+      // Removing garbage, or noting images, may come late without harm; all else must be known.
+      const harmless = rank === Rank.Round && conditions.length === 0;
+      if (!outcome.ok && outcome.error.kind === 'unknown' && !harmless) this.unclear = true;
+      return outcome;
+    } finally {
+      if (--this.writing === 0) this.idle?.();
+    }
+  }
+
+  /**
+   * Starts whose answer was lost may run until their worker obeys a higher token. The token rises without a
+   * reload: nothing of this holder is on its way to the store meanwhile, and every answer so far was clear, so
+   * what it knows is what the store holds.
+   */
+  private async raise(why: string): Promise<void> {
+    if (this.raising) return;
+    const { d } = this;
+    this.raisedAt = d.clock.now();
+    let release: () => void = () => undefined;
+    this.raising = new Promise((resolve) => (release = resolve));
+    try {
+      if (this.writing > 0) await new Promise<void>((resolve) => (this.idle = resolve));
+      this.idle = undefined;
+      if (!this.live() || this.unclear) return;
+      if ((await d.term.raise(why)) && this.world) this.world.term = this.held.term;
+    } finally {
+      this.raising = undefined;
+      release();
+    }
+  }
+
+  private deaf = 0;
+
+  /** Raises the token when floating starts hold back more than one machine's work, or one for long. */
+  private async watchLoop(): Promise<void> {
+    const { d } = this;
+    const gapMs = d.settings.workers.leaseS * 500;
+    while (this.live()) {
+      await sleep(d.clock, 500);
+      const { world } = this;
+      if (!world || !this.live() || !d.term.canDecide()) continue;
+      const now = d.clock.now();
+      this.deaf = this.isDeaf(now) ? this.deaf + 1 : 0;
+      // Twice in a row: a process that was merely late has read what waited for it in between.
+      if (this.deaf > 1) return d.term.standDown('no worker is heard');
+      if (now - this.raisedAt < gapMs) continue;
+      // A worker that is silent can't acknowledge anything: it is fenced, or its session rises.
+      const held = [...world.floating].filter(
+        (p) => p.orderTerm === this.held.term && (p.machine.lastReport ?? 0) > p.since + ORDER_MS,
+      );
+      const machines = new Set(held.map((p) => p.machine));
+      if (machines.size === 0) continue;
+      if (machines.size < 3 && !held.some((p) => now - p.since > gapMs)) continue;
+      await this.raise('starts without an answer');
+    }
+  }
+
   // ---- rounds: plan, commit -------------------------------------------------------------------------
 
   private async roundLoop(): Promise<void> {
@@ -260,7 +403,8 @@
         await new Promise<void>((resolve) => (this.wakeUp = resolve));
         timer.cancel();
       }
-      const wait = d.operator.roundMs - (d.clock.now() - last);
+      // Rounds may take a tenth of the time: the bigger the fleet, the bigger the rounds rather than the more.
+      const wait = Math.min(2000, Math.max(d.operator.roundMs, 9 * this.planMs)) - (d.clock.now() - last);
       if (wait > 0) await sleep(d.clock, wait);
       if (!this.live()) return;
       this.dirty = false;
@@ -269,12 +413,26 @@
     }
   }
 
+  private within: ReadonlySet<JobId> = new Set();
+  private withinAt = -Infinity;
+  private quiet: ReadonlySet<ZoneName> = new Set();
+  /** How long planning takes, smoothed. */
+  private planMs = 0;
+
   private async oneRound(): Promise<void> {
     const { d, world } = this;
     if (!world) return;
     const { workers, store } = d.settings;
+    const from = d.clock.now();
+    this.quiet = this.quietZones(from);
+    if (from - this.withinAt >= WITHIN_MS) {
+      this.within = withinGuarantee(world.jobs.values(), d.teams);
+      this.withinAt = from;
+    }
     const result = planRound({
-      now: d.clock.now(),
+      within: this.within,
+      quietZones: this.quiet,
+      now: from,
       world,
       types: d.types.all(),
       teams: d.teams,
@@ -287,9 +445,10 @@
     });
     this.unplaced = result.unplaced;
     const now = d.clock.now();
+    this.planMs = 0.7 * this.planMs + 0.3 * (now - from);
     for (const s of result.stops) {
       const all = s.placement.job.spec.kind === 'gang' ? s.placement.job.placements.values() : [s.placement];
-      for (const p of all) p.stop ??= { graceS: s.graceS, why: 'preempted', at: now, ordered: false };
+      for (const p of all) world.stop(p, s.graceS, 'preempted', now);
       d.log.info('task-preempted', {
         task: `${s.placement.job.id}/${s.placement.index}`,
         machine: s.placement.machine.id,
@@ -321,9 +480,8 @@
     const sessions = new Map(taken.map((t) => [t.machine, t.machine.session]));
     for (const m of sessions.keys()) m.rounds++;
     const sent = d.clock.now();
-    const outcome = await d.store.txn(
+    const outcome = await this.write(
       [
-        { key: Keys.holder, mark: this.held.mark },
         { key: Keys.plan(id), mark: 0n as Mark },
         { key: Keys.receipt(id), mark: 0n as Mark },
         ...jobs.map((j) => ({ key: Keys.job(j.id), mark: j.mark })),
@@ -374,7 +532,7 @@
       if (world.machines.get(t.machine.id) !== t.machine || t.machine.session !== session) {
         world.end(p, 'gone', now);
       } else if (t.job.cancelledAt !== undefined) {
-        p.stop = { graceS: 0, why: 'cancelled', at: now, ordered: false };
+        world.stop(p, 0, 'cancelled', now);
       }
     }
     d.log.info('round-committed', {
@@ -439,10 +597,14 @@
     const { d } = this;
     while (this.live()) {
       const now = d.clock.now();
-      const guard = { key: Keys.holder, mark: this.held.mark };
+      const { txnOps, valueKb } = d.settings.store;
       const work =
         this.world && d.term.canDecide()
-          ? nextSettlement(this.world, guard, d.settings.store.txnOps, now)
+          ? nextSettlement(
+              this.world,
+              { txnOps, valueKb, note: Keys.note(this.held.term, this.notes + 1) },
+              now,
+            )
           : undefined;
       if (!work) {
         const timer = d.clock.after(250, () => this.nudge?.());
@@ -452,7 +614,8 @@
         await sleep(d.clock, 30);
         continue;
       }
-      const outcome = await d.store.txn(work.conditions, work.changes, Rank.Finish);
+      this.notes++;
+      const outcome = await this.write(work.conditions, work.changes, Rank.Finish);
       if (!this.live()) return;
       if (!outcome.ok) {
         if (outcome.error.kind === 'unknown') return d.term.rise('an end without an answer');
@@ -484,8 +647,8 @@
       await this.keepImages(world);
       const keys = [...world.garbage].slice(0, d.settings.store.txnOps);
       if (keys.length === 0) continue;
-      const outcome = await d.store.txn(
-        [{ key: Keys.holder, mark: this.held.mark }],
+      const outcome = await this.write(
+        [],
         keys.map((key) => ({ op: 'delete', key })),
         Rank.Round,
       );
@@ -494,31 +657,58 @@
     }
   }
 
+  private imagesAt = 0 as SteadyMs;
+
   /**
-   * Which images are where is written down now and then: a successor that had to guess would send every
-   * start to a cold machine. Only a hint, so nothing is lost when it is old.
+   * Which images are where is written down now and then, many machines in one record: a successor that had to
+   * guess would send every start to a cold machine. Only a hint, so nothing is lost when it is old or left out.
    */
   private async keepImages(world: World): Promise<void> {
     const { d } = this;
-    for (const id of world.imagesGone) {
-      world.garbage.add(Keys.images(id));
-      world.imagesGone.delete(id);
-    }
-    const machines = [...world.imagesChanged].slice(0, d.settings.store.txnOps);
-    if (machines.length === 0) return;
-    for (const m of machines) world.imagesChanged.delete(m);
-    const changes: Change[] = [];
-    for (const m of machines) {
-      const value = seal({ images: imagesOf(m) });
-      if (fits(value, d.settings.store.valueKb)) changes.push({ op: 'put', key: Keys.images(m.id), value });
-    }
-    const done = await d.store.txn([{ key: Keys.holder, mark: this.held.mark }], changes, Rank.Round);
-    if (!done.ok) for (const m of machines) if (m.state !== 'gone') world.imagesChanged.add(m);
+    const now = d.clock.now();
+    if (!world.imagesChanged || now - this.imagesAt < IMAGES_MS) return;
+    this.imagesAt = now;
+    world.imagesChanged = false;
+    const records = imageRecords(world.machines.values(), d.settings.store.valueKb);
+    const changes: Change[] = records
+      .slice(0, d.settings.store.txnOps)
+      .map((value, i) => ({ op: 'put', key: Keys.images(i), value }));
+    if (changes.length > 0) await this.write([], changes, Rank.Round);
   }
 }
 
-function imagesOf(machine: Machine): { name: string; gb: number }[] {
-  return [...machine.images].map(([name, gb]) => ({ name, gb }));
+/** The machines of each image, packed into as few records as hold them. */
+export function imageRecords(machines: Iterable<Machine>, valueKb: number): Sealed[] {
+  const byImage = new Map<string, { gb: number; on: MachineId[] }>();
+  for (const m of machines) {
+    for (const [name, gb] of m.images) {
+      const entry = byImage.get(name);
+      if (entry) entry.on.push(m.id);
+      else byImage.set(name, { gb, on: [m.id] });
+    }
+  }
+  const out: Sealed[] = [];
+  let part: ImageNote[] = [];
+  let size = 0;
+  const limit = valueKb * 1024 - 256;
+  const close = (): void => {
+    if (part.length > 0) out.push(seal({ images: part }));
+    part = [];
+    size = 0;
+  };
+  for (const [name, { gb, on }] of byImage) {
+    for (let i = 0; i < on.length;) {
+      const head = name.length + 40;
+      if (size + head + 32 > limit) close();
+      const each = on[i]!.length + 3;
+      const n = Math.max(1, Math.min(on.length - i, Math.floor((limit - size - head) / each)));
+      part.push({ name, gb, on: on.slice(i, i + n) });
+      size += head + n * each;
+      i += n;
+    }
+  }
+  close();
+  return out;
 }
 
 function planJob(job: Job, tasks: readonly PlannedTask[]): PlanJob {
--- a/src/coordination/load.ts
+++ b/src/coordination/load.ts
@@ -2,9 +2,10 @@
 import type { Clock, SteadyMs } from '../transport/clock.js';
 import type { Log } from '../transport/log.js';
 import { err, ok, type Result } from '../transport/result.js';
-import type { Attempt, ImageName, JobId, MachineId, PlanId, StoreKey, Term } from '../protocol/ids.js';
+import type { Attempt, ImageName, JobId, PlanId, StoreKey, Term } from '../protocol/ids.js';
 import {
   finishSchema,
+  noteSchema,
   imagesSchema,
   indicesOf,
   Keys,
@@ -37,22 +38,35 @@
   const world = new World(term);
   const now = clock.now();
   const read = (prefix: string) => store.range(prefix, Rank.User);
-  const [rows, finishes, plans, receipts, revisions, images] = await Promise.all([
+  const [rows, finishes, notes, plans, receipts, revisions, images] = await Promise.all([
     read(Prefix.job),
     read(Prefix.finish),
+    read(Prefix.note),
     read(Prefix.plan),
     read(Prefix.receipt),
     read(Prefix.revision),
     read(Prefix.images),
   ]);
-  for (const part of [rows, finishes, plans, receipts, revisions]) if (!part.ok) return err(part.error.why);
-  if (!rows.ok || !finishes.ok || !plans.ok || !receipts.ok || !revisions.ok) return err('unreachable');
+  for (const part of [rows, finishes, notes, plans, receipts, revisions])
+    if (!part.ok) return err(part.error.why);
+  if (!rows.ok || !finishes.ok || !notes.ok || !plans.ok || !receipts.ok || !revisions.ok)
+    return err('unreachable');
 
   if (images.ok) {
     for (const e of images.value.entries) {
       const kept = unseal(imagesSchema, e.value);
-      const id = e.key.slice(Prefix.images.length) as MachineId;
-      if (kept.ok) world.imagesKept.set(id, kept.value.images as { name: ImageName; gb: number }[]);
+      if (!kept.ok) {
+        world.garbage.add(e.key);
+        continue;
+      }
+      for (const note of kept.value.images) {
+        const image = { name: note.name as ImageName, gb: note.gb };
+        for (const id of note.on) {
+          const list = world.imagesKept.get(id);
+          if (list) list.push(image);
+          else world.imagesKept.set(id, [image]);
+        }
+      }
     }
   }
   for (const e of rows.value.entries) {
@@ -80,6 +94,22 @@
       job.finishChunks.add(Number(chunk));
     }
   }
+  for (const e of notes.value.entries) {
+    const note = unseal(noteSchema, e.value);
+    if (!note.ok) {
+      log.error('finish-record-unreadable', { key: e.key, why: note.error });
+      continue;
+    }
+    let needed = false;
+    for (const entry of note.value.jobs) {
+      const job = world.jobs.get(entry.job);
+      if (!job) continue;
+      for (const i of indicesOf(entry.tasks)) job.done.add(i);
+      world.mention(job, e.key);
+      needed = true;
+    }
+    if (!needed) world.garbage.add(e.key);
+  }
   const sums = new Map<PlanId, string>();
   for (const e of receipts.value.entries) {
     const receipt = unseal(receiptSchema, e.value);
@@ -127,8 +157,7 @@
   for (const job of world.jobs.values()) {
     if (job.cancelledAt === undefined) continue;
     // Cancelled under an older holder, which may have ended before it told the workers.
-    for (const p of job.placements.values())
-      p.stop = { graceS: 0, why: 'cancelled', at: now, ordered: false };
+    for (const p of job.placements.values()) world.stop(p, 0, 'cancelled', now);
   }
   for (const plan of [...world.plans.values()]) {
     if (plan.open > 0) continue;
@@ -169,7 +198,7 @@
       // Plans come in the order of their commits: the later one had proof that the older was gone.
       const olderPlan = world.plans.get(older.plan);
       if (olderPlan) olderPlan.open--;
-      older.machine.placements.delete(older);
+      world.forgetPlacement(older);
     }
     world.place(job, index, attempt, machine, group.session, plan, now);
     world.plans.get(plan)!.open++;
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -6,6 +6,7 @@
 import type { Estimates } from '../bookkeeping/estimates.js';
 import {
   teamUse,
+  waitingCount,
   waitingTasks,
   type Job,
   type Machine,
@@ -13,6 +14,7 @@
   type Use,
   type World,
 } from '../bookkeeping/world.js';
+import { roomFor, Rooms, type Need, type Room } from './rooms.js';
 
 /** What a round is planned from. The planner only reads it, and the same snapshot gives the same plan. */
 export interface Snapshot {
@@ -28,6 +30,10 @@
   readonly preemptAfterMs: number;
   readonly estimates: Estimates;
   readonly aims: StartAims;
+  /** Jobs within their team's guarantee, where the caller knows them already. */
+  readonly within?: ReadonlySet<JobId>;
+  /** Zones that have fallen silent: nothing new goes there. */
+  readonly quietZones?: ReadonlySet<ZoneName>;
 }
 
 /** How soon work should start, as the settings' objectives say. */
@@ -86,19 +92,9 @@
   readonly unplaced: readonly Unplaced[];
 }
 
-interface Room {
-  readonly machine: Machine;
-  readonly type: MachineType;
-  cpus: number;
-  gpus: number;
-  memoryGb: number;
-  reserved: boolean;
-}
-
 const EPS = 1e-9;
 
-export const roomFor = (room: { cpus: number; gpus: number; memoryGb: number }, s: JobSpec): boolean =>
-  room.cpus + EPS >= s.cpus && room.gpus + EPS >= s.gpus && room.memoryGb + EPS >= s.memoryGb;
+export { roomFor };
 
 export const fitsType = (s: JobSpec, t: MachineType): boolean =>
   (s.types === null || s.types.includes(t.name)) && roomFor(t, s);
@@ -147,21 +143,15 @@
  * Production work first, whatever its team is owed: a missing replica is an outage, and replicas are small
  * beside the rest. Then guarantees, then priority, then what is due first, then age.
  */
-export function jobOrder(
-  jobs: Iterable<Job>,
-  within: ReadonlySet<JobId>,
-  due: (job: Job) => number = () => 0,
-): Job[] {
-  return [...jobs].sort(
-    (a, b) =>
-      Number(isProduction(b)) - Number(isProduction(a)) ||
-      Number(within.has(b.id)) - Number(within.has(a.id)) ||
-      priorityRank(a.spec.priority) - priorityRank(b.spec.priority) ||
-      due(a) - due(b) ||
-      a.row.acceptedAt - b.row.acceptedAt ||
-      (a.id < b.id ? -1 : 1),
-  );
-}
+export const jobOrder =
+  (within: ReadonlySet<JobId>, due: (job: Job) => number = () => 0) =>
+  (a: Job, b: Job): number =>
+    Number(isProduction(b)) - Number(isProduction(a)) ||
+    Number(within.has(b.id)) - Number(within.has(a.id)) ||
+    priorityRank(a.spec.priority) - priorityRank(b.spec.priority) ||
+    due(a) - due(b) ||
+    a.row.acceptedAt - b.row.acceptedAt ||
+    (a.id < b.id ? -1 : 1);
 
 /** Later than any time that is due. */
 const NEVER = Number.MAX_SAFE_INTEGER;
@@ -189,6 +179,7 @@
   s.now - m.lastReport <= s.staleMs &&
   m.noticeAt === undefined &&
   m.suspectUntil <= s.now &&
+  !s.quietZones?.has(m.zone) &&
   m.strangers.length === 0;
 
 /** Tasks of the job possibly on machines, by zone; what is proven off doesn't bind. */
@@ -222,10 +213,10 @@
   p: Placement,
   job: Job,
   within: ReadonlySet<JobId>,
-  order: ReadonlyMap<JobId, number>,
+  order: (a: Job, b: Job) => number,
 ): boolean {
   if (p.ended || p.job.id === job.id) return false;
-  if ((order.get(p.job.id) ?? Infinity) < (order.get(job.id) ?? -1)) return false;
+  if (order(p.job, job) < 0) return false;
   if (priorityRank(p.job.spec.priority) > priorityRank(job.spec.priority)) return true;
   return within.has(job.id) && !within.has(p.job.id) && p.job.spec.team !== job.spec.team;
 }
@@ -237,43 +228,51 @@
   return (1 + lost) * (p.job.spec.gpus + p.job.spec.cpus / 100);
 }
 
+/** Jobs for which a round looks into stopping others: the first in order; the rest has its turn in later rounds. */
+const MOST_SEARCHES = 24;
+
+/** What a failed search says of others like it: no room for so much, of such kinds, in such zones. */
+interface Shape {
+  readonly kinds: string;
+  readonly need: Need;
+}
+
 class RoundPlanner {
-  readonly rooms: Room[] = [];
+  readonly rooms = new Rooms();
   readonly tasks: PlannedTask[] = [];
   readonly stops: { placement: Placement; graceS: number; forJob: JobId }[] = [];
   readonly unplaced: Unplaced[] = [];
   private readonly use: Map<TeamName, Use>;
   private readonly within: ReadonlySet<JobId>;
   private readonly jobsInRound = new Set<JobId>();
-  private readonly order = new Map<JobId, number>();
+  private readonly order: (a: Job, b: Job) => number;
   private readonly strangers = new Set<string>();
+  private readonly full: Shape[] = [];
+  private readonly coldOnly = new Set<JobId>();
+  private searches = 0;
   private releases:
     { readonly room: Room; readonly spec: JobSpec; readonly inS: number; taken: boolean }[] | undefined;
 
   constructor(private readonly s: Snapshot) {
     this.use = teamUse(s.world);
-    this.within = withinGuarantee(s.world.jobs.values(), s.teams);
-    for (const m of s.world.machines.values()) {
+    this.within = s.within ?? withinGuarantee(s.world.jobs.values(), s.teams);
+    const due = new Map<Job, number>();
+    this.order = jobOrder(this.within, (job) => {
+      let at = due.get(job);
+      if (at === undefined) due.set(job, (at = dueAt(job, s)));
+      return at;
+    });
+    for (const m of s.world.estranged) {
       for (const t of m.strangers) this.strangers.add(`${t.job}/${t.index}`);
+    }
+    for (const m of s.world.machines.values()) {
       const type = s.types.get(m.type);
-      if (!type || !usable(m, s)) continue;
-      const room: Room = {
-        machine: m,
-        type,
-        cpus: type.cpus,
-        gpus: type.gpus,
-        memoryGb: type.memoryGb,
-        reserved: false,
-      };
-      for (const p of m.placements) if (!p.ended) this.occupy(room, p.job.spec, 1);
-      this.rooms.push(room);
+      if (type && usable(m, s)) this.rooms.add(m, type);
     }
   }
 
   private occupy(room: Room, s: JobSpec, n: number): void {
-    room.cpus -= n * s.cpus;
-    room.gpus -= n * s.gpus;
-    room.memoryGb -= n * s.memoryGb;
+    this.rooms.occupy(room, s, n);
   }
 
   private underLimit(s: JobSpec, n: number): boolean {
@@ -303,62 +302,97 @@
   }
 
   run(): RoundPlan {
-    const due = new Map<JobId, number>();
-    for (const job of this.s.world.jobs.values()) due.set(job.id, dueAt(job, this.s));
-    const jobs = jobOrder(this.s.world.jobs.values(), this.within, (job) => due.get(job.id) ?? NEVER);
-    jobs.forEach((job, i) => this.order.set(job.id, i));
-    for (const job of jobs) {
-      if (job.cancelledAt === undefined) this.planJob(job);
+    const waiting: Job[] = [];
+    for (const job of this.s.world.jobs.values()) {
+      if (job.cancelledAt === undefined && waitingCount(job) > 0) waiting.push(job);
     }
+    waiting.sort(this.order);
+    for (const job of waiting) this.planJob(job);
     return { tasks: this.tasks, stops: this.stops, unplaced: this.unplaced };
   }
 
   private planJob(job: Job): void {
     const { spec } = job;
-    const left = this.s.maxTasks - this.tasks.length;
-    const waiting = waitingTasks(job, spec.kind === 'gang' ? spec.tasks : Math.max(1, left)).filter(
-      (i) => !this.strangers.has(`${job.id}/${i}`),
-    );
-    if (waiting.length === 0) return;
-    const put = (reason: WaitReason, count = waiting.length): void => {
+    const count = waitingCount(job);
+    const put = (reason: WaitReason, n: number): void => {
       // What the team's limit keeps from running anyway needs no room, and above all no rented machine.
-      const allowed = reason === 'no room' ? Math.min(count, this.allowance(spec)) : count;
+      const allowed = reason === 'no room' ? Math.min(n, this.allowance(spec)) : n;
       if (allowed > 0) this.unplaced.push({ job, count: allowed, reason });
-      if (allowed < count) this.unplaced.push({ job, count: count - allowed, reason: 'team limit' });
+      if (allowed < n) this.unplaced.push({ job, count: n - allowed, reason: 'team limit' });
     };
-    if (job.notBefore > this.s.now) return put('backing off');
-    if (spec.kind === 'gang') {
-      // All or nothing: a new attempt starts when the old one is gone to the last task.
-      if (job.placements.size > 0 || job.done.count > 0) return put('old attempt not gone');
-      if (!this.underLimit(spec, spec.tasks)) return put('team limit');
-      if (!this.roundHasRoom(job, spec.tasks)) return put('round full');
-      const chosen = this.placeGang(job, waiting);
-      if (chosen && spec.tasks === 1 && !this.holdsImage(chosen[0]!.machine, job)) {
-        this.occupy(chosen[0]!, spec, -1);
-        if (this.warmRoom(job, zonesOf(job))) return put('no room');
-        this.occupy(chosen[0]!, spec, 1);
-      }
-      if (!chosen) {
-        this.makeRoom(job, waiting.length);
-        return put('no room');
-      }
-      this.accept(job, waiting, chosen);
-      return;
-    }
+    if (job.notBefore > this.s.now) return put('backing off', count);
+    if (spec.kind === 'gang') return this.planGang(job, count, put);
+    if (!this.underLimit(spec, 1)) return put('team limit', count);
+    if (!this.roundHasRoom(job, 1)) return put('round full', count);
     const zones = zonesOf(job);
+    const kinds = this.kindsOf(job, zones);
+    if (kinds !== undefined && this.knownFull(kinds, spec)) {
+      this.makeRoom(job, count);
+      return put('no room', count);
+    }
+    const left = Math.max(1, this.s.maxTasks - this.tasks.length);
+    const waiting = waitingTasks(job, left).filter((i) => !this.strangers.has(`${job.id}/${i}`));
+    const images = this.imageRooms(job);
+    let kept = 0;
     for (let k = 0; k < waiting.length; k++) {
-      const rest = waiting.length - k;
-      if (!this.underLimit(spec, 1)) return put('team limit', rest);
-      if (!this.roundHasRoom(job, 1)) return put('round full', rest);
-      const room = this.pick(job, zones, () => true);
+      const rest = count - k;
+      if (!this.underLimit(spec, 1)) return put('team limit', rest + kept);
+      if (!this.roundHasRoom(job, 1)) return put('round full', rest + kept);
+      const room = this.pick(job, zones, images);
       if (!room) {
+        if (kinds !== undefined && k === 0) this.full.push({ kinds, need: spec });
         this.makeRoom(job, rest);
-        return put('no room', rest);
+        return put('no room', rest + kept);
+      }
+      if (!this.holdsImage(room.machine, job) && this.warmRoom(job, zones)) {
+        kept++;
+        continue;
       }
-      if (!this.holdsImage(room.machine, job) && this.warmRoom(job, zones)) continue;
       zones.set(room.machine.zone, (zones.get(room.machine.zone) ?? 0) + 1);
       this.accept(job, [waiting[k]!], [room]);
+      if (!images.includes(room)) images.push(room);
+    }
+    const rest = count - waiting.length;
+    if (rest + kept > 0) put('round full', rest + kept);
+  }
+
+  private planGang(job: Job, count: number, put: (reason: WaitReason, n: number) => void): void {
+    const { spec } = job;
+    // All or nothing: a new attempt starts when the old one is gone to the last task.
+    if (job.placements.size > 0 || job.done.count > 0) return put('old attempt not gone', count);
+    if (!this.underLimit(spec, spec.tasks)) return put('team limit', count);
+    if (!this.roundHasRoom(job, spec.tasks)) return put('round full', count);
+    const waiting = waitingTasks(job, spec.tasks).filter((i) => !this.strangers.has(`${job.id}/${i}`));
+    if (waiting.length < spec.tasks) return put('old attempt not gone', count);
+    const single = spec.tasks === 1 ? this.kindsOf(job, new Map()) : undefined;
+    if (single !== undefined && this.knownFull(single, spec)) {
+      this.makeRoom(job, 1);
+      return put('no room', count);
+    }
+    const chosen = this.placeGang(job, waiting);
+    if (!chosen) {
+      if (single !== undefined) this.full.push({ kinds: single, need: spec });
+      this.makeRoom(job, waiting.length);
+      return put('no room', count);
+    }
+    if (spec.tasks === 1 && !this.holdsImage(chosen[0]!.machine, job)) {
+      this.occupy(chosen[0]!, spec, -1);
+      if (this.warmRoom(job, zonesOf(job))) return put('no room', count);
+      this.occupy(chosen[0]!, spec, 1);
     }
+    this.accept(job, waiting, chosen);
+  }
+
+  /** Jobs that may go to just the same machines share this key; undefined where zones or machines are its own. */
+  private kindsOf(job: Job, zones: ReadonlyMap<ZoneName, number>): string | undefined {
+    const { spec } = job;
+    for (const until of job.avoid.values()) if (until > this.s.now) return undefined;
+    if ((spec.spread || spec.oneZone) && zones.size > 0) return undefined;
+    return `${spec.spot}/${spec.zone ?? '*'}/${spec.types?.join(',') ?? '*'}`;
+  }
+
+  private knownFull(kinds: string, need: Need): boolean {
+    return this.full.some((f) => f.kinds === kinds && roomFor(need, f.need));
   }
 
   private roundHasRoom(job: Job, n: number): boolean {
@@ -393,55 +427,77 @@
   private pick(
     job: Job,
     zones: ReadonlyMap<ZoneName, number>,
-    also: (room: Room) => boolean,
+    images: readonly Room[],
+    zone?: ZoneName,
   ): Room | undefined {
+    const { spec } = job;
+    const ok = (r: Room): boolean =>
+      (zone === undefined || r.machine.zone === zone) && this.eligible(job, zones, r);
     let best: Room | undefined;
     let bestScore: readonly number[] = [];
-    for (const room of this.rooms) {
-      if (room.reserved || !roomFor(room, job.spec) || !this.eligible(job, zones, room) || !also(room))
-        continue;
-      const holds = this.holdsImage(room.machine, job);
-      const free = room.gpus + room.cpus / 1000;
+    for (const room of images) {
+      if (room.reserved || !roomFor(room, spec)) continue;
+      if (!ok(room)) continue;
       const score = [
-        Number(job.spec.spot && room.machine.spot),
-        Number(holds),
+        Number(spec.spot && room.machine.spot),
+        Number(this.holdsImage(room.machine, job)),
         -room.type.gpus - room.type.cpus / 1000,
         // Among holders of the image, services go where services are and all else to the fullest, so that
         // the emptier machines can empty and be returned.
-        holds && job.spec.kind === 'service' ? servicesOn(room.machine) : 0,
-        holds ? -free : free,
+        spec.kind === 'service' ? room.machine.used.services : 0,
+        -(room.gpus + room.cpus / 1000),
       ];
       if (!best || compare(score, bestScore) > 0) {
         best = room;
         bestScore = score;
       }
     }
+    if (best && (!spec.spot || best.machine.spot)) return best;
+    const free = this.rooms.mostFree(spec, ok);
+    // Work that may use the cheaper kind goes there even where the image is missing.
+    if (!best || (free && free.machine.spot && spec.spot && !best.machine.spot)) return free;
     return best;
   }
 
+  /** The rooms that hold the job's image or are just fetching it. */
+  private imageRooms(job: Job): Room[] {
+    const out: Room[] = [];
+    for (const m of this.s.world.withImage(job.spec.image)) {
+      const room = this.rooms.of(m);
+      if (room && roomFor(room, job.spec)) out.push(room);
+    }
+    return out;
+  }
+
   private holdsImage(m: Machine, job: Job): boolean {
     return m.images.has(job.spec.image);
   }
 
   private placeGang(job: Job, waiting: readonly TaskIndex[]): Room[] | undefined {
-    const zones = job.spec.oneZone ? [...new Set(this.rooms.map((r) => r.machine.zone))].sort() : [undefined];
+    const { spec } = job;
+    const zones = spec.oneZone ? this.rooms.zones() : [undefined];
     let best: { rooms: Room[]; images: number } | undefined;
+    const images = this.imageRooms(job);
     for (const zone of zones) {
+      if (zone !== undefined && !this.rooms.mayHold(zone, spec, waiting.length)) continue;
       const rooms: Room[] = [];
       const counted = zonesOf(job);
+      const near = zone === undefined ? [...images] : images.filter((r) => r.machine.zone === zone);
       for (let k = 0; k < waiting.length; k++) {
-        const room = this.pick(job, counted, (r) => zone === undefined || r.machine.zone === zone);
+        const room = this.pick(job, counted, near, zone);
         if (!room) break;
         counted.set(room.machine.zone, (counted.get(room.machine.zone) ?? 0) + 1);
-        this.occupy(room, job.spec, 1);
+        this.occupy(room, spec, 1);
         rooms.push(room);
+        if (!near.includes(room)) near.push(room);
       }
-      for (const room of rooms) this.occupy(room, job.spec, -1);
+      for (const room of rooms) this.occupy(room, spec, -1);
       if (rooms.length < waiting.length) continue;
-      const images = rooms.filter((r) => this.holdsImage(r.machine, job)).length;
-      if (!best || images > best.images) best = { rooms, images };
+      const held = rooms.filter((r) => this.holdsImage(r.machine, job)).length;
+      if (!best || held > best.images) best = { rooms, images: held };
+      if (best.images === waiting.length) break;
     }
-    if (best) for (const room of best.rooms) this.occupy(room, job.spec, 1);
+    if (best) for (const room of best.rooms) this.occupy(room, spec, 1);
     return best?.rooms;
   }
 
@@ -451,10 +507,11 @@
    */
   private warmRoom(job: Job, zones: ReadonlyMap<ZoneName, number>): boolean {
     const { spec } = job;
-    if (!this.s.aims.byClass.has(spec.class)) return false;
+    if (!this.s.aims.byClass.has(spec.class) || this.coldOnly.has(job.id)) return false;
     let best: { room: Room; stops: Placement[]; loss: number } | undefined;
-    for (const room of this.rooms) {
-      if (room.reserved || !this.holdsImage(room.machine, job)) continue;
+    for (const m of this.s.world.withImage(spec.image)) {
+      const room = this.rooms.of(m);
+      if (!room || room.reserved || !this.holdsImage(m, job)) continue;
       if (!this.eligible(job, zones, room) || !roomFor(room.type, spec)) continue;
       const fetchS = spec.imageGb / Math.max(room.type.fetchGbPerS, 1e-3);
       if (fetchS < WORTH_A_STOP_S) continue;
@@ -484,7 +541,10 @@
       if (!roomFor(free, spec) || loss > fetchS * (spec.gpus + spec.cpus / 100)) continue;
       if (!best || loss < best.loss) best = { room, stops, loss };
     }
-    if (!best) return false;
+    if (!best) {
+      this.coldOnly.add(job.id);
+      return false;
+    }
     best.room.reserved = true;
     for (const placement of best.stops) {
       this.stops.push({ placement, graceS: graceOf(placement.job.spec), forJob: job.id });
@@ -492,15 +552,23 @@
     return true;
   }
 
+  /** No job waits longer than this for others to end. */
+  private get patienceMost(): number {
+    const { aims } = this.s;
+    return HOPE * Math.max(PATIENT_S / HOPE, aims.guaranteeS ?? 0, ...aims.byClass.values());
+  }
+
   /** Room that running tasks will give back by themselves, soonest first. */
   private comingReleases(): NonNullable<RoundPlanner['releases']> {
     if (this.releases) return this.releases;
     this.releases = [];
-    for (const room of this.rooms) {
+    for (const room of this.rooms.all) {
+      if (room.machine.used.tasks === room.machine.used.services) continue;
       for (const p of room.machine.placements) {
         const { spec } = p.job;
         if (p.ended || p.stop || spec.kind === 'service' || p.runningSince === undefined) continue;
         const inS = this.s.estimates.rest(spec, (this.s.now - p.runningSince) / 1000);
+        if (inS > this.patienceMost) continue;
         this.releases.push({ room, spec, inS, taken: false });
       }
     }
@@ -551,38 +619,18 @@
    */
   private makeRoom(job: Job, count: number): void {
     const { spec } = job;
+    if (++this.searches > MOST_SEARCHES) return;
     const zones = zonesOf(job);
     let wanted = Math.min(count - this.servedByReleases(job, count, zones), 64);
     if (wanted <= 0) return;
-    const candidates: { room: Room; stops: Placement[]; loss: number; waiting: boolean }[] = [];
-    for (const room of this.rooms) {
+    const candidates: Candidate[] = [];
+    for (const room of this.rooms.all) {
       if (room.reserved || !this.eligible(job, zones, room) || !roomFor(room.type, spec)) continue;
-      const free = { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb };
-      const give = (p: Placement): void => {
-        free.cpus += p.job.spec.cpus;
-        free.gpus += p.job.spec.gpus;
-        free.memoryGb += p.job.spec.memoryGb;
-      };
-      for (const p of room.machine.placements) if (!p.ended && p.stop) give(p);
-      if (roomFor(free, spec)) {
-        candidates.push({ room, stops: [], loss: 0, waiting: true });
-        continue;
-      }
-      const victims = [...room.machine.placements]
-        .filter((p) => !p.stop && preemptible(p, job, this.within, this.order))
-        .sort((a, b) => lossOf(a, this.s.now) - lossOf(b, this.s.now));
-      const stops: Placement[] = [];
-      let loss = 0;
-      for (const p of victims) {
-        give(p);
-        stops.push(p);
-        loss += lossOf(p, this.s.now) * p.job.placements.size ** (p.job.spec.kind === 'gang' ? 1 : 0);
-        if (roomFor(free, spec)) break;
-      }
-      if (roomFor(free, spec)) candidates.push({ room, stops, loss, waiting: false });
+      const found = this.candidate(job, room);
+      if (found) candidates.push(found);
     }
-    const warm = (c: { room: Room }): number => Number(this.holdsImage(c.room.machine, job));
-    const beside = (c: { room: Room }): number => (spec.kind === 'service' ? servicesOn(c.room.machine) : 0);
+    const warm = (c: Candidate): number => Number(this.holdsImage(c.room.machine, job));
+    const beside = (c: Candidate): number => (spec.kind === 'service' ? c.room.machine.used.services : 0);
     candidates.sort(
       (a, b) =>
         Number(b.waiting) - Number(a.waiting) ||
@@ -590,13 +638,12 @@
         beside(b) - beside(a) ||
         a.loss - b.loss,
     );
-    // One zone for all: only rooms of the zone that can take most of them help.
-    const zone = spec.oneZone ? mostCommon(candidates.map((c) => c.room.machine.zone)) : undefined;
+    const zone = spec.oneZone ? this.zoneFor(candidates, wanted) : undefined;
     const patient = this.s.now - job.acceptedAt < this.s.preemptAfterMs;
     for (const c of candidates) {
       if (wanted <= 0) break;
       if (zone !== undefined && c.room.machine.zone !== zone) continue;
-      wanted--;
+      wanted -= c.holds;
       c.room.reserved = true;
       if (patient) continue;
       for (const placement of c.stops) {
@@ -604,20 +651,74 @@
       }
     }
   }
+
+  /** What the room would hold of the job once work that may be stopped for it is gone, and at what loss. */
+  private candidate(job: Job, room: Room): Candidate | undefined {
+    const { spec } = job;
+    const free = { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb };
+    const give = (p: Placement): void => {
+      free.cpus += p.job.spec.cpus;
+      free.gpus += p.job.spec.gpus;
+      free.memoryGb += p.job.spec.memoryGb;
+    };
+    const holds = (): number => (spec.kind === 'gang' && spec.tasks > 1 ? timesIn(free, spec) : 1);
+    for (const p of room.machine.placements) if (!p.ended && p.stop) give(p);
+    if (roomFor(free, spec)) return { room, stops: [], loss: 0, waiting: true, holds: holds() };
+    const victims = [...room.machine.placements]
+      .filter((p) => !p.stop && preemptible(p, job, this.within, this.order))
+      .sort((a, b) => lossOf(a, this.s.now) - lossOf(b, this.s.now));
+    const stops: Placement[] = [];
+    let loss = 0;
+    for (const p of victims) {
+      give(p);
+      stops.push(p);
+      loss += lossOf(p, this.s.now) * p.job.placements.size ** (p.job.spec.kind === 'gang' ? 1 : 0);
+      if (roomFor(free, spec)) return { room, stops, loss, waiting: false, holds: holds() };
+    }
+    return undefined;
+  }
+
+  /**
+   * One zone for all: the one that can be made to hold the whole gang at the least loss. Where none can, the
+   * one that comes nearest, and its rooms are only kept from others, since to stop work there would be in vain.
+   */
+  private zoneFor(candidates: Candidate[], wanted: number): ZoneName | undefined {
+    const sums = new Map<ZoneName, { holds: number; loss: number }>();
+    for (const c of candidates) {
+      const sum = sums.get(c.room.machine.zone) ?? { holds: 0, loss: 0 };
+      if (sum.holds < wanted) sum.loss += c.loss;
+      sum.holds += c.holds;
+      sums.set(c.room.machine.zone, sum);
+    }
+    let best: { zone: ZoneName; holds: number; loss: number } | undefined;
+    for (const [zone, { holds, loss }] of sums) {
+      const enough = Math.min(holds, wanted);
+      if (!best || enough > best.holds || (enough === best.holds && loss < best.loss)) {
+        best = { zone, holds: enough, loss };
+      }
+    }
+    if (best && best.holds < wanted) {
+      for (const c of candidates) c.stops.length = 0;
+    }
+    return best?.zone;
+  }
+}
+
+interface Candidate {
+  readonly room: Room;
+  readonly stops: Placement[];
+  readonly loss: number;
+  /** Free already, or once what is being stopped is gone. */
+  readonly waiting: boolean;
+  /** How many tasks of the job it would take. */
+  readonly holds: number;
 }
 
-const servicesOn = (m: Machine): number => {
-  let n = 0;
-  for (const p of m.placements) if (!p.ended && p.job.spec.kind === 'service') n++;
-  return n;
-};
-
-function mostCommon<T>(values: readonly T[]): T | undefined {
-  const counts = new Map<T, number>();
-  for (const v of values) counts.set(v, (counts.get(v) ?? 0) + 1);
-  let best: T | undefined;
-  for (const [v, n] of counts) if (best === undefined || n > counts.get(best)!) best = v;
-  return best;
+/** How many tasks of the kind fit. */
+function timesIn(free: Need, s: Need): number {
+  const of = (has: number, each: number): number => (each > 0 ? Math.floor(has / each + EPS) : Infinity);
+  const n = Math.min(of(free.cpus, s.cpus), of(free.gpus, s.gpus), of(free.memoryGb, s.memoryGb));
+  return Math.max(1, n === Infinity ? 1 : n);
 }
 
 function compare(a: readonly number[], b: readonly number[]): number {
--- a/src/coordination/settle.ts
+++ b/src/coordination/settle.ts
@@ -1,7 +1,17 @@
 import type { SteadyMs } from '../transport/clock.js';
-import type { JobId, Mark, PlanId } from '../protocol/ids.js';
+import type { JobId, Mark, PlanId, StoreKey } from '../protocol/ids.js';
 import type { Change, Condition } from '../protocol/state.js';
-import { chunkOf, Keys, rangesOf, seal, type EndRecord, type Revision } from '../bookkeeping/records.js';
+import {
+  CHUNK,
+  chunkOf,
+  Keys,
+  noteOf,
+  rangesOf,
+  seal,
+  type EndRecord,
+  type NoteEntry,
+  type Revision,
+} from '../bookkeeping/records.js';
 import type { Job, Placement, PlanState, World } from '../bookkeeping/world.js';
 
 /** One transaction's worth of ends: what it writes, and what the world becomes once it is committed. */
@@ -13,8 +23,23 @@
   apply(mark: Mark): void;
 }
 
-/** Completed tasks of a job that goes on may wait this long for company; all else is written at once. */
-const GATHER_MS = 700;
+export interface SettleLimits {
+  readonly txnOps: number;
+  readonly valueKb: number;
+  /** Key of the shared finish record, should one be written. */
+  readonly note: StoreKey;
+}
+
+/**
+ * Completed tasks of jobs that go on wait so long for company: the ends of all jobs of one moment go into one
+ * shared finish record, one change for hundreds of tasks. Their room is free meanwhile; only the worker's
+ * `forget` waits.
+ */
+const GATHER_MS = 1000;
+/** Jobs of more tasks keep finish records of their own, lest each shared record lives as long as they do. */
+const SHARED_MOST_TASKS = 2 * CHUNK;
+/** A job mentioned in more shared records than this gets one of its own in their place. */
+const MOST_NOTES = 40;
 
 interface JobPart {
   readonly job: Job;
@@ -44,35 +69,47 @@
   const parts: JobPart[] = [];
   for (const [job, plans] of byJob) {
     const all = [...plans.values()].flat();
-    const live = job.placements.size > all.length || all.length === 0;
-    const urgent =
-      !live ||
-      job.cancelledAt !== undefined ||
-      all.some((p) => p.ended?.how !== 'done' || now - p.ended.at >= GATHER_MS) ||
-      all.length === 0;
+    const empty = job.placements.size <= all.length;
+    // A cancelled job's tasks are settled together with its end: nothing needs to know of each before.
+    if (job.cancelledAt !== undefined && !empty) continue;
+    const urgent = empty || all.some((p) => p.ended?.how !== 'done' || now - p.ended.at >= GATHER_MS);
     if (!urgent) continue;
     parts.push({ job, groups: [...plans].map(([plan, placements]) => ({ plan, placements })) });
   }
   return parts;
 }
 
+/** Ends of tasks of many jobs, for one record. */
+class Note {
+  readonly entries: NoteEntry[] = [];
+  readonly jobs: Job[] = [];
+  private size = 256;
+
+  constructor(private readonly limit: number) {}
+
+  add(job: Job, indices: readonly number[]): boolean {
+    const tasks = rangesOf(indices);
+    const size = tasks.length + job.id.length + 24;
+    if (this.size + size > this.limit) return false;
+    this.size += size;
+    this.entries.push({ job: job.id, tasks });
+    this.jobs.push(job);
+    return true;
+  }
+}
+
 /** The next ends to write, within the operations of one transaction; undefined when there is nothing. */
-export function nextSettlement(
-  world: World,
-  guard: Condition,
-  txnOps: number,
-  now: SteadyMs,
-): Settlement | undefined {
-  const conditions: Condition[] = [guard];
+export function nextSettlement(world: World, limits: SettleLimits, now: SteadyMs): Settlement | undefined {
+  const conditions: Condition[] = [];
   const changes: Change[] = [];
   const applies: ((mark: Mark) => void)[] = [];
   const jobs: JobId[] = [];
   let placements = 0;
-  // A plan shared by two jobs is settled for one of them per transaction: it has one revision record.
+  // A plan shared by two jobs is revised for one of them per transaction: it has one revision record.
   const touched = new Set<PlanId>();
+  const note = new Note(limits.valueKb * 1024 - 128);
   for (const part of partsOf(world, now)) {
-    const room = txnOps - changes.length;
-    const piece = settleJob(world, part, room, touched);
+    const piece = settleJob(world, part, limits.txnOps - 1 - changes.length, touched, note);
     if (!piece) continue;
     conditions.push(...piece.conditions);
     changes.push(...piece.changes);
@@ -80,6 +117,12 @@
     jobs.push(part.job.id);
     placements += piece.placements;
   }
+  if (note.entries.length > 0) {
+    changes.push({ op: 'put', key: limits.note, value: seal(noteOf(note.entries)) });
+    applies.push(() => {
+      for (const job of note.jobs) world.mention(job, limits.note);
+    });
+  }
   if (changes.length === 0) return undefined;
   return {
     conditions,
@@ -94,116 +137,183 @@
 
 type Piece = Omit<Settlement, 'jobs'>;
 
-function settleJob(world: World, part: JobPart, room: number, touched: Set<PlanId>): Piece | undefined {
+const isDone = (p: Placement): boolean => p.ended?.how === 'done';
+
+function settleJob(
+  world: World,
+  part: JobPart,
+  room: number,
+  touched: Set<PlanId>,
+  note: Note,
+): Piece | undefined {
   const { job } = part;
-  if (room < 2) return undefined;
-  const chosen: Placement[] = [];
-  const chunks = new Map<number, number[]>();
-  const planWrites: { plan: PlanState; closed: boolean; returned: number[]; count: number }[] = [];
-  let used = 2; // The row and, perhaps, the end record.
-  for (const group of part.groups) {
-    if (touched.has(group.plan) || used + 4 > room) continue;
-    used += 3;
-    const taken: Placement[] = [];
-    for (const p of group.placements) {
-      if (p.ended?.how === 'done') {
-        const chunk = chunkOf(p.index);
-        const indices = chunks.get(chunk);
-        if (indices) indices.push(p.index);
-        else if (used < room) {
-          chunks.set(chunk, [p.index]);
-          used++;
-        } else continue;
-      }
-      taken.push(p);
-    }
-    chosen.push(...taken);
-    const plan = world.plans.get(group.plan);
-    if (plan && taken.length > 0) {
-      const returned = taken.filter((p) => p.ended?.how !== 'done').map((p) => p.index as number);
-      planWrites.push({ plan, closed: plan.open <= taken.length, returned, count: taken.length });
-    }
-  }
-  if (chosen.length === 0 && part.groups.length > 0) return undefined;
-  for (const w of planWrites) touched.add(w.plan.id);
+  const all = part.groups.flatMap((g) => g.placements);
+  const newlyDone = all.filter((p) => isDone(p) && !job.done.has(p.index)).length;
+  const allDone = job.done.count + newlyDone >= job.spec.tasks || gangCompleted(job, newlyDone);
+  const empty = job.placements.size === all.length;
+  const cancelled = job.cancelledAt !== undefined;
+  if (empty && (allDone || cancelled)) return room < 2 ? undefined : endJob(world, job, all, newlyDone);
+  if (cancelled) return undefined;
+  const done = all.filter(isDone);
+  const returned = returnTasks(world, part, room, touched);
+  const ends =
+    done.length > 0 ? noteDone(world, job, done, room - (returned?.changes.length ?? 0), note) : undefined;
+  const pieces = [returned, ends].filter((p) => p !== undefined);
+  if (pieces.length === 0) return undefined;
+  return {
+    conditions: pieces.flatMap((p) => p.conditions),
+    changes: pieces.flatMap((p) => p.changes),
+    placements: pieces.reduce((n, p) => n + p.placements, 0),
+    apply(mark) {
+      for (const p of pieces) p.apply(mark);
+    },
+  };
+}
 
-  const doneNow = [...chunks.values()].reduce((n, c) => n + c.filter((i) => !job.done.has(i)).length, 0);
-  const allDone = job.done.count + doneNow >= job.spec.tasks || gangCompleted(job, doneNow);
-  const empty = job.placements.size === chosen.length;
+/** The job is over: its row gives way to its end, and whatever plans it had are done with. */
+function endJob(world: World, job: Job, all: readonly Placement[], newlyDone: number): Piece {
   const cancelled = job.cancelledAt !== undefined;
-  const over = empty && (allDone || cancelled);
-  const conditions: Condition[] = [{ key: Keys.job(job.id), mark: job.mark }];
-  const changes: Change[] = [];
-  const returnsSome = chosen.some((p) => p.ended?.how !== 'done');
-  const row = {
-    ...job.row,
-    generation: job.row.generation + 1,
-    term: world.term,
-    done: job.done.count + doneNow,
+  const end: EndRecord = {
+    state: cancelled ? 'cancelled' : 'done',
+    done: cancelled ? job.done.count + newlyDone : job.spec.tasks,
   };
-  if (over) {
-    const end: EndRecord = {
-      state: cancelled ? 'cancelled' : 'done',
-      done: cancelled ? job.done.count + doneNow : job.spec.tasks,
-    };
-    changes.push({ op: 'delete', key: Keys.job(job.id) });
-    changes.push({ op: 'put', key: Keys.end(job.id), value: seal(end) });
-  } else {
-    // A returned task is a fenced revision of the row: whoever planned on the old generation fails.
-    if (returnsSome) changes.push({ op: 'put', key: Keys.job(job.id), value: seal(row) });
-    for (const [chunk, indices] of chunks) {
-      changes.push({
-        op: 'put',
-        key: Keys.finish(job.id, chunk),
-        value: seal(job.done.chunkWith(chunk, indices)),
-      });
+  return {
+    conditions: [{ key: Keys.job(job.id), mark: job.mark }],
+    changes: [
+      { op: 'delete', key: Keys.job(job.id) },
+      { op: 'put', key: Keys.end(job.id), value: seal(end) },
+    ],
+    placements: all.length,
+    apply() {
+      for (const p of all) settleIn(world, p);
+      world.dropJob(job);
+      world.noteEnded(job.id);
+      for (const c of job.finishChunks) world.garbage.add(Keys.finish(job.id, c));
+    },
+  };
+}
+
+function settleIn(world: World, p: Placement): void {
+  world.settle(p);
+  const plan = world.plans.get(p.plan);
+  if (plan) plan.open--;
+}
+
+/** A returned task is a fenced revision of the row: whoever planned on the old generation fails. */
+function returnTasks(world: World, part: JobPart, room: number, touched: Set<PlanId>): Piece | undefined {
+  const { job } = part;
+  const chosen: Placement[] = [];
+  const writes: { plan: PlanState; closed: boolean; returned: number[] }[] = [];
+  let used = 1;
+  for (const group of part.groups) {
+    const back = group.placements.filter((p) => !isDone(p));
+    const plan = world.plans.get(group.plan);
+    if (back.length === 0 || touched.has(group.plan)) continue;
+    if (!plan) {
+      chosen.push(...back);
+      continue;
     }
+    const closed = plan.open <= back.length;
+    const cost = closed ? 2 + Number(plan.hasRevision) : 1;
+    if (used + cost > room) continue;
+    used += cost;
+    chosen.push(...back);
+    writes.push({ plan, closed, returned: back.map((p) => p.index) });
   }
-  for (const w of planWrites) {
+  if (chosen.length === 0 || used > room) return undefined;
+  for (const w of writes) touched.add(w.plan.id);
+  const row = { ...job.row, generation: job.row.generation + 1, term: world.term, done: job.done.count };
+  const changes: Change[] = [{ op: 'put', key: Keys.job(job.id), value: seal(row) }];
+  for (const w of writes) {
     if (w.closed) {
       changes.push(
         { op: 'delete', key: Keys.plan(w.plan.id) },
         { op: 'delete', key: Keys.receipt(w.plan.id) },
       );
       if (w.plan.hasRevision) changes.push({ op: 'delete', key: Keys.revision(w.plan.id) });
-    } else if (w.returned.length > 0 && !over) {
-      const all = new Map(w.plan.returned);
-      all.set(job.id, [...(all.get(job.id) ?? []), ...w.returned]);
-      const revision: Revision = {
-        plan: w.plan.id,
-        returned: [...all].map(([id, tasks]) => ({ job: id, tasks: rangesOf(tasks) })),
-      };
-      changes.push({ op: 'put', key: Keys.revision(w.plan.id), value: seal(revision) });
+      continue;
     }
+    const back = new Map(w.plan.returned);
+    back.set(job.id, [...(back.get(job.id) ?? []), ...w.returned]);
+    const revision: Revision = {
+      plan: w.plan.id,
+      returned: [...back].map(([id, tasks]) => ({ job: id, tasks: rangesOf(tasks) })),
+    };
+    changes.push({ op: 'put', key: Keys.revision(w.plan.id), value: seal(revision) });
   }
   return {
-    conditions,
+    conditions: [{ key: Keys.job(job.id), mark: job.mark }],
     changes,
     placements: chosen.length,
     apply(mark) {
-      for (const indices of chunks.values()) for (const i of indices) job.done.add(i);
-      for (const p of chosen) world.settle(p);
-      for (const w of planWrites) {
-        w.plan.open -= w.count;
+      for (const p of chosen) settleIn(world, p);
+      for (const w of writes) {
         if (w.closed) world.plans.delete(w.plan.id);
-        else if (w.returned.length > 0 && !over) {
+        else {
           w.plan.returned.set(job.id, [...(w.plan.returned.get(job.id) ?? []), ...w.returned]);
           w.plan.hasRevision = true;
         }
       }
-      if (over) {
-        world.jobs.delete(job.id);
-        world.noteEnded(job.id);
-        const last = chunkOf(job.spec.tasks - 1);
-        for (let c = 0; c <= last; c++)
-          if (job.finishChunks.has(c)) world.garbage.add(Keys.finish(job.id, c));
-        return;
-      }
-      for (const c of chunks.keys()) job.finishChunks.add(c);
-      if (returnsSome && mark > job.mark) {
+      if (mark > job.mark) {
         job.row = row;
         job.mark = mark;
       }
     },
   };
 }
+
+/**
+ * Completed tasks of a job that goes on. No condition on the row: the term's fence keeps older holders out,
+ * and an end is true whatever its user did to the row meanwhile.
+ */
+function noteDone(
+  world: World,
+  job: Job,
+  done: readonly Placement[],
+  room: number,
+  note: Note,
+): Piece | undefined {
+  const settle = (): void => {
+    for (const p of done) {
+      job.done.add(p.index);
+      settleIn(world, p);
+    }
+  };
+  const own = job.spec.tasks > SHARED_MOST_TASKS || job.finishNotes.size >= MOST_NOTES;
+  if (!own) {
+    if (
+      note.add(
+        job,
+        done.map((p) => p.index),
+      )
+    )
+      return { conditions: [], changes: [], placements: done.length, apply: settle };
+    // No room left beside others: next time. What doesn't fit alone takes a record of its own.
+    if (note.entries.length > 0) return undefined;
+  }
+  const chunks = new Map<number, number[]>();
+  for (const p of done) {
+    const list = chunks.get(chunkOf(p.index));
+    if (list) list.push(p.index);
+    else chunks.set(chunkOf(p.index), [p.index]);
+  }
+  // What shared records say of the job is said again by its own, and they are released.
+  if (job.finishNotes.size > 0) {
+    for (let c = 0; c <= chunkOf(job.spec.tasks - 1); c++) if (!chunks.has(c)) chunks.set(c, []);
+  }
+  if (chunks.size > room) return undefined;
+  return {
+    conditions: [],
+    changes: [...chunks].map(([chunk, indices]) => ({
+      op: 'put',
+      key: Keys.finish(job.id, chunk),
+      value: seal(job.done.chunkWith(chunk, indices)),
+    })),
+    placements: done.length,
+    apply() {
+      settle();
+      for (const c of chunks.keys()) job.finishChunks.add(c);
+      for (const key of [...job.finishNotes]) world.unmention(job, key);
+    },
+  };
+}
--- a/src/coordination/term.ts
+++ b/src/coordination/term.ts
@@ -24,13 +24,17 @@
 import type { Store } from '../bookkeeping/store.js';
 import type { KnownTerm } from './peers.js';
 
+/** The same object for as long as the same holder goes on; its token and mark may rise meanwhile. */
 export interface HeldTerm {
-  readonly term: Term;
-  readonly mark: Mark;
+  term: Term;
+  mark: Mark;
   readonly lease: LeaseId;
 }
 
 const USURP_PAUSE_MS = 20_000;
+/** How long a node that gave the term up leaves others the first chance, and how long a chance is. */
+const STAND_ASIDE_MS = 30_000;
+const ASIDE_STEP_MS = 2500;
 
 interface Seen {
   readonly holder: { readonly record: HolderRecord; readonly mark: Mark } | undefined;
@@ -83,7 +87,7 @@
     if (known.term > this.newest.term || (known.term === this.newest.term && !this.newest.holder)) {
       this.newest = known;
     }
-    const ownRise = this.rising !== undefined && known.holder === this.self;
+    const ownRise = (this.rising !== undefined || this.raising) && known.holder === this.self;
     if (this.held && known.term > this.held.term && !ownRise) this.lose('a newer term exists');
   }
 
@@ -96,6 +100,14 @@
     void this.store.endLease(lease);
   }
 
+  private standAsideUntil = -Infinity;
+
+  /** Gives the term up for another node to take; takes it again only when none has for a while. */
+  standDown(why: string): void {
+    this.standAsideUntil = this.clock.now() + STAND_ASIDE_MS;
+    this.lose(why);
+  }
+
   start(): void {
     void this.renewLoop();
     void this.watchLoop();
@@ -152,6 +164,11 @@
       }
       if (!seen.holder) {
         if (this.held && !this.rising) this.lose('the term key is gone');
+        if (!this.held && this.clock.now() < this.standAsideUntil) {
+          await sleep(this.clock, ASIDE_STEP_MS);
+          const again = await this.read();
+          if (!again || again.holder) continue;
+        }
         if (!this.held && (await this.take(seen))) continue;
       } else if (seen.holder.record.member === this.self && seen.holder.record.lease !== this.held?.lease) {
         // An earlier life of this very member: it is surely dead, so its lease needn't run out.
@@ -238,6 +255,36 @@
     return { term, mark: entry.value.mark, lease };
   }
 
+  private raising = false;
+
+  /**
+   * The token rises under the same lease, and the holder goes on with what it knows. Only for a holder that has
+   * nothing on its way to the store and no unclear answer behind it.
+   */
+  async raise(why: string): Promise<boolean> {
+    const { held } = this;
+    if (!held || this.rising || this.raising) return false;
+    this.raising = true;
+    try {
+      const seen = await this.read();
+      if (!seen?.holder || this.held !== held || seen.holder.mark !== held.mark) return false;
+      const next = await this.write(seen, held.lease, held.mark);
+      if (this.held !== held) return false;
+      if (!next) {
+        // Refused, or its answer is lost: only the store can tell.
+        void this.rise('a raise without an answer');
+        return false;
+      }
+      held.term = next.term;
+      held.mark = next.mark;
+      this.newest = { term: next.term, holder: this.self, address: this.address };
+      this.log.info('term-raised', { term: next.term, why });
+      return true;
+    } finally {
+      this.raising = false;
+    }
+  }
+
   /**
    * A commit's answer was lost: it may still be applied later. The holder takes a new term under the same
    * lease, which makes all it had on its way fail, and rebuilds from the store.
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -69,7 +69,7 @@
     fallback: 0,
     min: 0,
     max: 3600,
-    meaning: 'silence before a machine is fenced; 0: four reports',
+    meaning: 'silence before a machine is fenced; 0: two and a half reports, at least 12 s',
   },
   'keep-standing': {
     field: 'keepStanding',
@@ -80,7 +80,7 @@
   },
   'holder-share': {
     field: 'holderShare',
-    fallback: 0.7,
+    fallback: 0.8,
     min: 0.34,
     max: 0.9,
     meaning: "the term holder's share of the state service's rates",
--- a/test/proofs.test.ts
+++ b/test/proofs.test.ts
@@ -91,7 +91,6 @@
     world,
     clock,
     log: silentLog,
-    term: TERM,
     estimates: new Estimates(),
     metrics: new Metrics(),
     cacheGb: () => 100,
@@ -153,14 +152,33 @@
   for (const order of ['flying', 'floating'] as const) {
     const { ctx, p, report } = setUp();
     p.order = order;
+    p.orderTerm = TERM;
     assert.deepEqual(handleReport(ctx, report({})), []);
     stop(p);
     handleReport(ctx, report({ seq: 12n as Seq }));
-    handleReport(ctx, report({ seq: 13n as Seq, tasks: [{ ...shown, state: 'exited', cause: 'stopped' }] }));
     assert.equal(howOf(p), undefined, order);
+    // Shown by the worker, the one order there was has run: an exit after it counts.
+    handleReport(ctx, report({ seq: 13n as Seq, tasks: [{ ...shown, state: 'exited', cause: 'stopped' }] }));
+    assert.equal(howOf(p), 'stopped', order);
   }
 });
 
+test('a worker that obeys a higher token than a floating start carries will never run it', () => {
+  const { ctx, p, report } = setUp();
+  p.order = 'floating';
+  p.orderTerm = TERM;
+  ctx.world.term = 6n as Term;
+  assert.deepEqual(handleReport(ctx, report({})), [], 'not acknowledged yet');
+  const [again] = handleReport(ctx, report({ seq: 12n as Seq, token: 6n as Term }));
+  assert.equal(again?.op, 'start');
+  const cancelled = setUp();
+  cancelled.p.order = 'floating';
+  cancelled.p.orderTerm = TERM;
+  stop(cancelled.p);
+  handleReport(cancelled.ctx, cancelled.report({ token: 6n as Term }));
+  assert.equal(howOf(cancelled.p), 'unsent');
+});
+
 test('a higher session proves it gone even with a start on its way', () => {
   const { ctx, p, report } = setUp();
   p.order = 'floating';
--- a/test/standin/net.ts
+++ b/test/standin/net.ts
@@ -2,6 +2,7 @@
 import type { Frame, Mesh } from '../../src/transport/mesh.js';
 import type { Random } from '../../src/transport/random.js';
 import { err, type Result } from '../../src/transport/result.js';
+import { Paths } from '../../src/protocol/wire.js';
 import type { World } from './clock.js';
 
 export type Server = (from: string, method: string, path: string, body: Uint8Array) => Promise<Reply> | Reply;
@@ -28,6 +29,10 @@
     private readonly random: Random,
   ) {}
 
+  /** So many of the next starts sent to workers' own addresses come only after `orderDelayS`, unanswered. */
+  lateOrders = 0;
+  orderDelayS = 0;
+
   serve(address: string, server: Server | undefined): void {
     if (server) this.servers.set(address, server);
     else this.servers.delete(address);
@@ -72,6 +77,14 @@
             if (alive()) resolve(r);
           };
           const timer = this.world.after(deadlineMs, () => finish(err({ kind: 'unknown', why: 'deadline' })));
+          if (this.lateOrders > 0 && method === 'POST' && path === Paths.orders) {
+            this.lateOrders--;
+            this.world.after(
+              this.orderDelayS * 1000,
+              () => void this.servers.get(address)?.(from, method, path, body ?? new Uint8Array()),
+            );
+            return;
+          }
           const sent = this.carry(from, to, () => {
             const server = this.servers.get(address);
             if (!server) return finish(err({ kind: 'refused', why: 'refused' }));
--- a/test/standin/scenario.ts
+++ b/test/standin/scenario.ts
@@ -211,6 +211,10 @@
     case 'refuse-starts':
       for (const m of u.cloud.live()) if (m.worker) m.worker.refuseStarts = Number(w[0]);
       return;
+    case 'late-orders':
+      u.net.lateOrders = Number(w[0]);
+      u.net.orderDelayS = Number(w[1]);
+      return;
     case 'duds':
       u.cloud.duds = Number(w[0]);
       return;
@@ -248,6 +252,12 @@
     const rises = u.events.get('term-rises') ?? 0;
     return rises >= Number(third) ? undefined : `the term rose ${rises} times`;
   }
+  if (subject === 'raises') {
+    const raises = u.events.get('term-raised') ?? 0;
+    const loads = u.events.get('world-rebuilt') ?? 0;
+    if (loads > Number(bound ?? Infinity)) return `the world was loaded ${loads} times`;
+    return raises >= Number(third) ? undefined : `the token was raised ${raises} times`;
+  }
   if (subject === 'machines') {
     const n = u.cloud.live().length;
     return n <= Number(third) ? undefined : `${n} machines are left`;
--- a/test/transport.test.ts
+++ b/test/transport.test.ts
@@ -67,14 +67,15 @@
 });
 
 test('frames cross the mesh whole, and a refusing peer is noticed', async () => {
-  const free = async (): Promise<string> => {
-    const probe = createServer();
-    await new Promise<void>((resolve) => probe.listen(0, '127.0.0.1', resolve));
-    const { port } = probe.address() as { port: number };
-    await new Promise<void>((resolve) => probe.close(() => resolve()));
-    return `127.0.0.1:${port}`;
-  };
-  const [a, b, gone] = [await free(), await free(), await free()];
+  // All held at once, lest a port that was just given up is handed out again.
+  const probes = [createServer(), createServer(), createServer()];
+  for (const p of probes) await new Promise<void>((resolve) => p.listen(0, '127.0.0.1', resolve));
+  const [a, b, gone] = probes.map((p) => `127.0.0.1:${(p.address() as { port: number }).port}`) as [
+    string,
+    string,
+    string,
+  ];
+  for (const p of probes) await new Promise<void>((resolve) => p.close(() => resolve()));
   const one = netMesh(
     a,
     new Map([
