--- a/src/bookkeeping/store.ts
+++ b/src/bookkeeping/store.ts
@@ -134,12 +134,23 @@
     }
   }
 
+  /** Changes paid for before it is known what to write, so that what is written is planned on the newest. */
+  reserve(changes: number, rank: Rank): Promise<boolean> {
+    return this.writes.take(changes, rank, 2 * CALL_MS);
+  }
+
+  unreserve(changes: number): void {
+    if (changes > 0) this.writes.giveBack(changes);
+  }
+
   async txn(
     conditions: readonly Condition[],
     changes: readonly Change[],
     rank: Rank,
+    paid = false,
   ): Promise<Result<TxnOutcome, StoreFailure>> {
-    const reply = await this.call('POST', Paths.txn, encodeTxn(conditions, changes), rank, changes.length);
+    const body = encodeTxn(conditions, changes);
+    const reply = await this.call('POST', Paths.txn, body, rank, paid ? 0 : changes.length);
     if (!reply.ok) return reply;
     if (reply.value.status === 200) {
       const done = decodeAs(committedSchema, reply.value.body);
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -71,13 +71,15 @@
       [Rank.Lease]: 0,
       [Rank.User]: 0,
       [Rank.Finish]: 0.1,
-      [Rank.Round]: 0.3,
+      [Rank.Round]: 0.2,
+      [Rank.Garbage]: 0.4,
     });
     this.writes = new Budget(clock, store.writeRps, {
       [Rank.Lease]: 0,
       [Rank.User]: 0,
-      [Rank.Finish]: roundReserve / 2,
-      [Rank.Round]: roundReserve,
+      [Rank.Finish]: 0,
+      [Rank.Round]: roundReserve / 2,
+      [Rank.Garbage]: roundReserve,
     });
     this.teams = new Map(settings.teams.map((t) => [t.name, t]));
     this.store = new Store(d.http, settings.state, clock, this.requests, this.writes, log);
@@ -105,6 +107,7 @@
       [Rank.User]: 0,
       [Rank.Finish]: 0.1,
       [Rank.Round]: 0.2,
+      [Rank.Garbage]: 0.2,
     });
     this.cloud = new Cloud(d.http, settings.cloud, clock, cloudBudget);
     this.types = new TypeBook(this.cloud, this.store, clock, random, log);
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -100,7 +100,11 @@
       finishWithin: this.finishWithin,
       idleReturnMs: d.operator.idleReturnS * 1000,
     });
-    for (const r of plan.rent) {
+    // A call rents up to fifty machines: the largest requests first, no more than the cloud takes, so that what
+    // is left over comes together in bigger ones.
+    const calls = Math.max(1, Math.ceil(d.settings.cloudLimits.rps * 0.5)) - this.pending.size;
+    const rents = [...plan.rent].sort((a, b) => b.count - a.count).slice(0, Math.max(0, calls));
+    for (const r of rents) {
       void this.rent({ ...r, request: `${d.held.term}-${++this.hires}` });
     }
     if (plan.giveBack.length > 0) void this.giveBack(plan.giveBack, 'idle');
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -27,7 +27,7 @@
 } from '../bookkeeping/records.js';
 import { Estimates } from '../bookkeeping/estimates.js';
 import type { Store, StoreFailure, TxnOutcome } from '../bookkeeping/store.js';
-import type { Job, Machine, Placement, World } from '../bookkeeping/world.js';
+import { waitingCount, type Job, type Machine, type Placement, type World } from '../bookkeeping/world.js';
 import { handleOrderReply, handleReport, type CommandContext } from './command.js';
 import { Fleet, type FleetDeps } from './fleet.js';
 import { loadWorld, steadyOf } from './load.js';
@@ -60,6 +60,8 @@
 const ORDER_MS = 1500;
 /** How old the holder's view of who is within the guarantees may be. */
 const WITHIN_MS = 300;
+/** The least time between two shared finish records. */
+const GATHER_MS = 1000;
 /** Image notes are worth a handful of changes this often. */
 const IMAGES_MS = 20_000;
 
@@ -71,6 +73,7 @@
   private wakeUp: (() => void) | undefined;
   private round = 0;
   private notes = 0;
+  private notedAt = -Infinity;
   fleet: Fleet | undefined;
   unplaced: readonly Unplaced[] = [];
   private readonly estimates = new Estimates();
@@ -325,6 +328,7 @@
     conditions: readonly Condition[],
     changes: readonly Change[],
     rank: Rank,
+    paid = false,
   ): Promise<Result<TxnOutcome, StoreFailure>> {
     while (this.raising) await this.raising;
     this.writing++;
@@ -333,9 +337,10 @@
         [{ key: Keys.holder, mark: this.held.mark }, ...conditions],
         changes,
         rank,
+        paid,
       );
       // Removing garbage, or noting images, may come late without harm; all else must be known.
-      const harmless = rank === Rank.Round && conditions.length === 0;
+      const harmless = rank === Rank.Garbage;
       if (!outcome.ok && outcome.error.kind === 'unknown' && !harmless) this.unclear = true;
       return outcome;
     } finally {
@@ -422,6 +427,25 @@
   private async oneRound(): Promise<void> {
     const { d, world } = this;
     if (!world) return;
+    let waiting = false;
+    for (const job of world.jobs.values()) {
+      if (job.cancelledAt !== undefined || waitingCount(job) === 0) continue;
+      waiting = true;
+      break;
+    }
+    const most = waiting ? d.settings.store.txnOps : 0;
+    // Paid for first: a round planned before a long wait for the budget would be planned on old news.
+    if (most > 0 && !(await d.store.reserve(most, Rank.Round))) {
+      this.dirty = true;
+      return;
+    }
+    const used = this.live() ? await this.planAndCommit(world) : 0;
+    d.store.unreserve(most - used);
+  }
+
+  /** Returns how many changes it wrote. */
+  private async planAndCommit(world: World): Promise<number> {
+    const { d } = this;
     const { workers, store } = d.settings;
     const from = d.clock.now();
     this.quiet = this.quietZones(from);
@@ -456,16 +480,18 @@
       });
     }
     this.orderStops(world);
-    if (result.tasks.length > 0) await this.commit(world, result.tasks);
+    return result.tasks.length > 0 ? this.commit(world, result.tasks) : 0;
   }
 
   /** Plan, receipt and rows in one transaction that conditions on the term and on every row's mark. */
-  private async commit(world: World, tasks: readonly PlannedTask[]): Promise<void> {
+  private async commit(world: World, tasks: readonly PlannedTask[]): Promise<number> {
     const { d } = this;
     const id = planId(this.held.term, ++this.round);
     const { plan, taken } = this.buildPlan(id, tasks);
     const sealed = seal(plan);
     const jobs = [...new Set(taken.map((t) => t.job))];
+    if (jobs.length === 0) return 0;
+    const written = jobs.length + 2;
     const rows = new Map<Job, Row>();
     for (const job of jobs) {
       rows.set(job, {
@@ -496,17 +522,24 @@
         ...jobs.map((j) => ({ op: 'put' as const, key: Keys.job(j.id), value: seal(rows.get(j)) })),
       ],
       Rank.Round,
+      true,
     );
     for (const m of sessions.keys()) m.rounds--;
-    if (!this.live()) return;
+    if (!this.live()) return written;
     if (!outcome.ok) {
-      if (outcome.error.kind === 'unknown') return this.d.term.rise('a round without an answer');
+      if (outcome.error.kind === 'unknown') {
+        await this.d.term.rise('a round without an answer');
+        return written;
+      }
       d.log.info('round-not-committed', { plan: id, why: outcome.error.why });
       await sleep(d.clock, jitter(d.random, 200));
       this.dirty = true;
-      return;
+      return written;
+    }
+    if (outcome.value.kind === 'conflict') {
+      await this.conflict(outcome.value.failed, id);
+      return written;
     }
-    if (outcome.value.kind === 'conflict') return this.conflict(outcome.value.failed, id);
     const mark = outcome.value.revision as unknown as Mark;
     const now = d.clock.now();
     d.metrics.timeMs('round-commit', now - sent);
@@ -550,6 +583,7 @@
     }
     this.fleet?.committed([...sessions.keys()]);
     this.dirty = true;
+    return written;
   }
 
   private async conflict(failed: readonly string[], what: string): Promise<void> {
@@ -600,11 +634,12 @@
       const { txnOps, valueKb } = d.settings.store;
       const work =
         this.world && d.term.canDecide()
-          ? nextSettlement(
-              this.world,
-              { txnOps, valueKb, note: Keys.note(this.held.term, this.notes + 1) },
-              now,
-            )
+          ? nextSettlement(this.world, {
+              txnOps,
+              valueKb,
+              note: Keys.note(this.held.term, this.notes + 1),
+              gathered: now - this.notedAt >= GATHER_MS,
+            })
           : undefined;
       if (!work) {
         const timer = d.clock.after(250, () => this.nudge?.());
@@ -615,6 +650,7 @@
         continue;
       }
       this.notes++;
+      if (work.noted) this.notedAt = now;
       const outcome = await this.write(work.conditions, work.changes, Rank.Finish);
       if (!this.live()) return;
       if (!outcome.ok) {
@@ -628,6 +664,8 @@
         work.apply(mark);
         d.log.info('ends-committed', { jobs: work.jobs.join(' '), tasks: work.placements });
         this.wake();
+        // Ends come in many reports: some company makes fewer and fuller transactions.
+        await sleep(d.clock, 100);
       }
     }
   }
@@ -650,7 +688,7 @@
       const outcome = await this.write(
         [],
         keys.map((key) => ({ op: 'delete', key })),
-        Rank.Round,
+        Rank.Garbage,
       );
       // Removing twice does no harm, so a lost answer needs no more than another try.
       if (outcome.ok && outcome.value.kind === 'committed') for (const key of keys) world.garbage.delete(key);
@@ -673,7 +711,7 @@
     const changes: Change[] = records
       .slice(0, d.settings.store.txnOps)
       .map((value, i) => ({ op: 'put', key: Keys.images(i), value }));
-    if (changes.length > 0) await this.write([], changes, Rank.Round);
+    if (changes.length > 0) await this.write([], changes, Rank.Garbage);
   }
 }
 
--- a/src/coordination/settle.ts
+++ b/src/coordination/settle.ts
@@ -1,4 +1,3 @@
-import type { SteadyMs } from '../transport/clock.js';
 import type { JobId, Mark, PlanId, StoreKey } from '../protocol/ids.js';
 import type { Change, Condition } from '../protocol/state.js';
 import {
@@ -20,6 +19,8 @@
   readonly changes: Change[];
   readonly jobs: readonly JobId[];
   readonly placements: number;
+  /** It holds a shared finish record. */
+  readonly noted?: boolean;
   apply(mark: Mark): void;
 }
 
@@ -28,14 +29,14 @@
   readonly valueKb: number;
   /** Key of the shared finish record, should one be written. */
   readonly note: StoreKey;
+  /**
+   * Whether it is time for one. Completed tasks of jobs that go on wait for company: the ends of all jobs of one
+   * moment go into one record, a single change for hundreds of tasks. Their room is free meanwhile; only the
+   * worker's `forget` waits.
+   */
+  readonly gathered: boolean;
 }
 
-/**
- * Completed tasks of jobs that go on wait so long for company: the ends of all jobs of one moment go into one
- * shared finish record, one change for hundreds of tasks. Their room is free meanwhile; only the worker's
- * `forget` waits.
- */
-const GATHER_MS = 1000;
 /** Jobs of more tasks keep finish records of their own, lest each shared record lives as long as they do. */
 const SHARED_MOST_TASKS = 2 * CHUNK;
 /** A job mentioned in more shared records than this gets one of its own in their place. */
@@ -53,7 +54,9 @@
 const gangCompleted = (job: Job, doneNow: number): boolean =>
   job.spec.kind === 'gang' && job.done.count + doneNow > 0;
 
-function partsOf(world: World, now: SteadyMs): JobPart[] {
+const isDone = (p: Placement): boolean => p.ended?.how === 'done';
+
+function partsOf(world: World, gathered: boolean): JobPart[] {
   const byJob = new Map<Job, Map<PlanId, Placement[]>>();
   for (const job of world.jobs.values()) {
     const over = job.cancelledAt !== undefined || job.done.count >= job.spec.tasks || gangCompleted(job, 0);
@@ -72,7 +75,7 @@
     const empty = job.placements.size <= all.length;
     // A cancelled job's tasks are settled together with its end: nothing needs to know of each before.
     if (job.cancelledAt !== undefined && !empty) continue;
-    const urgent = empty || all.some((p) => p.ended?.how !== 'done' || now - p.ended.at >= GATHER_MS);
+    const urgent = empty || gathered || all.some((p) => !isDone(p));
     if (!urgent) continue;
     parts.push({ job, groups: [...plans].map(([plan, placements]) => ({ plan, placements })) });
   }
@@ -99,7 +102,7 @@
 }
 
 /** The next ends to write, within the operations of one transaction; undefined when there is nothing. */
-export function nextSettlement(world: World, limits: SettleLimits, now: SteadyMs): Settlement | undefined {
+export function nextSettlement(world: World, limits: SettleLimits): Settlement | undefined {
   const conditions: Condition[] = [];
   const changes: Change[] = [];
   const applies: ((mark: Mark) => void)[] = [];
@@ -108,8 +111,8 @@
   // A plan shared by two jobs is revised for one of them per transaction: it has one revision record.
   const touched = new Set<PlanId>();
   const note = new Note(limits.valueKb * 1024 - 128);
-  for (const part of partsOf(world, now)) {
-    const piece = settleJob(world, part, limits.txnOps - 1 - changes.length, touched, note);
+  for (const part of partsOf(world, limits.gathered)) {
+    const piece = settleJob(world, part, limits.txnOps - 1 - changes.length, touched, note, limits);
     if (!piece) continue;
     conditions.push(...piece.conditions);
     changes.push(...piece.changes);
@@ -129,6 +132,7 @@
     changes,
     jobs,
     placements,
+    noted: note.entries.length > 0,
     apply: (mark) => {
       for (const apply of applies) apply(mark);
     },
@@ -137,14 +141,13 @@
 
 type Piece = Omit<Settlement, 'jobs'>;
 
-const isDone = (p: Placement): boolean => p.ended?.how === 'done';
-
 function settleJob(
   world: World,
   part: JobPart,
   room: number,
   touched: Set<PlanId>,
   note: Note,
+  limits: SettleLimits,
 ): Piece | undefined {
   const { job } = part;
   const all = part.groups.flatMap((g) => g.placements);
@@ -154,7 +157,7 @@
   const cancelled = job.cancelledAt !== undefined;
   if (empty && (allDone || cancelled)) return room < 2 ? undefined : endJob(world, job, all, newlyDone);
   if (cancelled) return undefined;
-  const done = all.filter(isDone);
+  const done = limits.gathered ? all.filter(isDone) : [];
   const returned = returnTasks(world, part, room, touched);
   const ends =
     done.length > 0 ? noteDone(world, job, done, room - (returned?.changes.length ?? 0), note) : undefined;
--- a/src/transport/budget.ts
+++ b/src/transport/budget.ts
@@ -10,6 +10,8 @@
   User = 1,
   Finish = 2,
   Round = 3,
+  /** Collecting what nothing needs any more: whenever nothing else wants to write. */
+  Garbage = 4,
 }
 
 interface Waiter {
@@ -48,6 +50,13 @@
     this.tokens = Math.max(this.tokens - cost, -2 * this.rate);
   }
 
+  /** Gives back what was taken and not used. */
+  giveBack(cost: number): void {
+    this.refill();
+    this.tokens = Math.min(Math.max(this.rate, 1), this.tokens + cost);
+    this.drain();
+  }
+
   /** Other nodes share the limit; a refusal means the bucket was believed fuller than it is. */
   refused(): void {
     this.refill();
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -1,14 +1,9 @@
-import { createAdaptorServer } from '@hono/node-server';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createAdaptorServer, type HttpBindings } from '@hono/node-server';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
-import { bodyLimit } from 'hono/body-limit';
 import type { Reply, Route } from './http.js';
 
-const toResponse = (reply: Reply, contentType: string): Response =>
-  new Response(reply.body ? (reply.body as Uint8Array<ArrayBuffer>) : null, {
-    status: reply.status,
-    headers: { ...(reply.body ? { 'content-type': contentType } : {}), ...reply.headers },
-  });
-
 export interface ServerOptions {
   readonly maxBody: number;
   readonly contentType: string;
@@ -17,27 +12,78 @@
   readonly maxConnections: number;
 }
 
-export function buildApp(routes: readonly Route[], options: ServerOptions): Hono {
-  const app = new Hono();
+/**
+ * The body straight from Node's request; undefined when it is over the limit. At hundreds of reports a second,
+ * the web-standard request and response objects with their streams cost more than all the rest.
+ */
+function readBody(incoming: IncomingMessage, maxBody: number): Promise<Uint8Array | undefined> {
+  const declared = Number(incoming.headers['content-length'] ?? 0);
+  if (declared > maxBody) return Promise.resolve(undefined);
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    incoming.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBody) resolve(undefined);
+      else chunks.push(chunk);
+    });
+    incoming.on('end', () => resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
+    incoming.on('error', reject);
+    incoming.on('aborted', () => reject(new Error('aborted')));
+  });
+}
+
+const NOTHING = new Uint8Array();
+
+export function buildApp(routes: readonly Route[], options: ServerOptions): Hono<{ Bindings: HttpBindings }> {
+  const app = new Hono<{ Bindings: HttpBindings }>();
   const { contentType, errorBody } = options;
-  const refuse = (status: number, message: string, headers: Record<string, string> = {}): Response =>
-    toResponse({ status, body: errorBody(message), headers }, contentType);
-  app.use(
-    bodyLimit({ maxSize: options.maxBody, onError: () => refuse(413, `body over ${options.maxBody} bytes`) }),
-  );
+  const send = (outgoing: ServerResponse, reply: Reply): Response => {
+    const body = reply.body ?? NOTHING;
+    if (!outgoing.headersSent && !outgoing.destroyed) {
+      outgoing.writeHead(reply.status, {
+        ...(body.length > 0 ? { 'content-type': contentType } : {}),
+        'content-length': body.length,
+        ...reply.headers,
+      });
+      outgoing.end(body);
+    }
+    return RESPONSE_ALREADY_SENT;
+  };
+  const refuse = (
+    outgoing: ServerResponse,
+    status: number,
+    message: string,
+    headers: Record<string, string> = {},
+  ): Response => send(outgoing, { status, body: errorBody(message), headers });
   for (const route of routes) {
     app.on(route.method, route.path, async (c) => {
-      const body = route.method === 'POST' ? new Uint8Array(await c.req.arrayBuffer()) : new Uint8Array();
-      return toResponse(await route.handle(c.req.param() as Record<string, string>, body), contentType);
+      const { incoming, outgoing } = c.env;
+      const body =
+        route.method === 'POST' ? await readBody(incoming as IncomingMessage, options.maxBody) : NOTHING;
+      if (body === undefined) {
+        // What is still to come isn't read: the connection goes with the answer.
+        return refuse(outgoing as ServerResponse, 413, `body over ${options.maxBody} bytes`, {
+          connection: 'close',
+        });
+      }
+      return send(
+        outgoing as ServerResponse,
+        await route.handle(c.req.param() as Record<string, string>, body),
+      );
     });
   }
   const methods = new Map<string, string[]>();
   for (const r of routes) methods.set(r.path, [...(methods.get(r.path) ?? []), r.method]);
   for (const [path, allowed] of methods) {
-    app.all(path, (c) => refuse(405, `${c.req.method} is not allowed here`, { allow: allowed.join(', ') }));
+    app.all(path, (c) =>
+      refuse(c.env.outgoing as ServerResponse, 405, `${c.req.method} is not allowed here`, {
+        allow: allowed.join(', '),
+      }),
+    );
   }
-  app.notFound(() => refuse(404, 'no such path'));
-  app.onError(() => refuse(500, 'internal error'));
+  app.notFound((c) => refuse(c.env.outgoing as ServerResponse, 404, 'no such path'));
+  app.onError((_, c) => refuse(c.env.outgoing as ServerResponse, 500, 'internal error'));
   return app;
 }
 
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -142,6 +142,7 @@
     [Rank.User]: 0,
     [Rank.Finish]: 0.2,
     [Rank.Round]: 0.5,
+    [Rank.Garbage]: 0.5,
   });
   let rounds = 0;
   for (let i = 0; i < 20; i++) void budget.take(1, Rank.Round, 1e6).then((ok) => (rounds += ok ? 1 : 0));
