--- a/src/coordination/rooms.ts
+++ b/src/coordination/rooms.ts
@@ -121,7 +121,7 @@
   }
 
   private topOf(pool: Pool, s: JobSpec, allowed: (room: Room) => boolean): Room | undefined {
-    const least = Math.max(0, Math.floor((pool.type.gpus > 0 ? s.gpus : s.cpus) - EPS));
+    const least = Math.max(0, Math.floor((pool.type.gpus > 0 ? s.gpus : s.cpus) + EPS));
     for (let b = pool.buckets.length - 1; b >= least; b--) {
       const bucket = pool.buckets[b];
       if (!bucket) continue;
--- /dev/null
+++ b/test/indexes.test.ts
@@ -0,0 +1,227 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { World as Book, waitingCount, type Machine, type Placement } from '../src/bookkeeping/world.js';
+import { Estimates } from '../src/bookkeeping/estimates.js';
+import { planRound } from '../src/coordination/planner.js';
+import { roomFor, Rooms } from '../src/coordination/rooms.js';
+import { nextSettlement } from '../src/coordination/settle.js';
+import type {
+  Attempt,
+  ImageName,
+  JobId,
+  MachineId,
+  Mark,
+  PlanId,
+  Session,
+  StoreKey,
+  TaskIndex,
+  TeamName,
+  Term,
+  TypeName,
+  ZoneName,
+} from '../src/protocol/ids.js';
+import type { JobSpec } from '../src/protocol/jobs.js';
+import type { SteadyMs } from '../src/transport/clock.js';
+import { machineType, team } from './standin/universe.js';
+
+/** Indexes against a plain recount, and how little is looked at and written when the fleet is large. */
+const NOW = 1000 as SteadyMs;
+const ZONES = ['a', 'b', 'c', 'd'];
+const TYPE = machineType('g8', ZONES, { cpus: 96, gpus: 8, memoryGb: 384 });
+const TYPES = new Map([[TYPE.name, TYPE]]);
+
+const specOf = (n: number, f: Partial<JobSpec> = {}): JobSpec => ({
+  id: `req-${String(n).padStart(6, '0')}` as JobId,
+  class: 'c',
+  team: (n % 2 === 0 ? 'red' : 'blue') as TeamName,
+  kind: 'array',
+  priority: 'normal',
+  tasks: 8,
+  cpus: 2.5,
+  gpus: 1,
+  memoryGb: 7.3,
+  image: `i${n % 3}` as ImageName,
+  imageGb: 4,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: true,
+  estimateS: 40,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+  ...f,
+});
+
+function bookOf(specs: readonly JobSpec[], machines: number): { world: Book; all: Machine[] } {
+  const world = new Book(1n as Term);
+  specs.forEach((spec, i) =>
+    world.addJob(
+      {
+        spec,
+        state: 'queued',
+        generation: 0,
+        term: 0n as Term,
+        attempt: 0,
+        done: 0,
+        acceptedAt: i as never,
+        cancelledAt: null,
+      },
+      1n as Mark,
+      0 as SteadyMs,
+      undefined,
+    ),
+  );
+  const all = Array.from({ length: machines }, (_, i) => {
+    const id = `m-${String(i).padStart(6, '0')}` as MachineId;
+    const m = world.addMachine(id, 'g8' as TypeName, ZONES[i % 4] as ZoneName, i % 5 === 0, NOW, NOW);
+    m.state = 'up';
+    m.trusted = true;
+    m.lastReport = NOW;
+    m.session = 1n as Session;
+    return m;
+  });
+  return { world, all };
+}
+
+function put(world: Book, job: number, index: number, machine: Machine, plan: string): Placement {
+  const id = `req-${String(job).padStart(6, '0')}` as JobId;
+  const planId = plan as PlanId;
+  const state = world.plans.get(planId) ?? { id: planId, open: 0, returned: new Map(), hasRevision: false };
+  world.plans.set(planId, state);
+  state.open++;
+  const target = world.jobs.get(id)!;
+  return world.place(target, index as TaskIndex, 1n as Attempt, machine, 1n as Session, planId, NOW);
+}
+
+test('room, use and image indexes equal a recount after any sequence of changes', () => {
+  const step = fc.record({
+    what: fc.constantFrom('place', 'end', 'settle', 'stop', 'float', 'remove'),
+    job: fc.nat(5),
+    index: fc.nat(7),
+    machine: fc.nat(3),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const specs = Array.from({ length: 6 }, (_, n) => specOf(n, n === 5 ? { kind: 'service' } : {}));
+      const { world, all } = bookOf(specs, 4);
+      for (const s of steps) {
+        const job = world.jobs.get(specs[s.job]!.id)!;
+        const p = job.placements.get(s.index as TaskIndex);
+        const m = all[s.machine]!;
+        if (s.what === 'place' && !p && m.state === 'up') put(world, s.job, s.index, m, 'p');
+        else if (s.what === 'end' && p) world.end(p, 'gone', NOW);
+        else if (s.what === 'settle' && p?.ended) world.settle(p);
+        else if (s.what === 'stop' && p) world.stop(p, 0, 'test', NOW);
+        else if (s.what === 'float' && p && !p.ended) world.float(p);
+        else if (s.what === 'remove' && m.state === 'up') world.removeMachine(m, NOW);
+      }
+      const use = new Map<string, number>();
+      for (const m of all) {
+        const live = [...m.placements].filter((p) => !p.ended);
+        assert.equal(m.used.tasks, live.length);
+        assert.equal(m.used.services, live.filter((p) => p.job.spec.kind === 'service').length);
+        assert.ok(Math.abs(m.used.cpus - 2.5 * live.length) < 1e-6);
+        for (const p of live) use.set(p.job.spec.team, (use.get(p.job.spec.team) ?? 0) + 1);
+        if (m.state === 'up') {
+          for (const p of live) assert.ok([...world.withImage(p.job.spec.image)].includes(m));
+        }
+      }
+      for (const name of ['red', 'blue']) {
+        assert.equal(world.use.get(name as TeamName)?.gpus ?? 0, use.get(name) ?? 0);
+      }
+      const placements = [...world.jobs.values()].flatMap((j) => [...j.placements.values()]);
+      for (const p of world.stopping) assert.ok(p.stop && !p.ended && placements.includes(p));
+      for (const p of world.floating) assert.ok(p.order === 'floating' && !p.ended);
+    }),
+    { seed: 7, numRuns: 300 },
+  );
+});
+
+test('the room found by size is the one a look at all of them would find', () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.nat(8), { minLength: 1, maxLength: 30 }),
+      fc.integer({ min: 1, max: 8 }),
+      (taken, gpus) => {
+        const { world, all } = bookOf([specOf(0, { tasks: 1000 })], taken.length);
+        taken.forEach((n, i) => {
+          for (let k = 0; k < n; k++) put(world, 0, i * 10 + k, all[i]!, 'p');
+        });
+        const rooms = new Rooms();
+        for (const m of all) rooms.add(m, TYPE);
+        const need = specOf(1, { gpus, spot: false });
+        const found = rooms.mostFree(need, () => true);
+        const fitting = rooms.all.filter((r) => !r.machine.spot && roomFor(r, need));
+        assert.equal(found?.gpus, fitting.length === 0 ? undefined : Math.max(...fitting.map((r) => r.gpus)));
+      },
+    ),
+    { seed: 8, numRuns: 200 },
+  );
+});
+
+test('at 1,500 machines a round looks at few rooms per task, and a full fleet at next to none', () => {
+  const specs = Array.from({ length: 400 }, (_, n) => specOf(n, { tasks: 40 }));
+  const { world, all } = bookOf(specs, 1500);
+  const snapshot = {
+    now: NOW,
+    world,
+    types: TYPES,
+    teams: new Map([team('red', 1000, 9000), team('blue', 1000, 9000)].map((t) => [t.name, t])),
+    staleMs: 5000,
+    maxTasks: 400,
+    maxJobs: 10,
+    preemptAfterMs: 0,
+    estimates: new Estimates(),
+    aims: { byClass: new Map(), guaranteeS: undefined, finishByClass: new Map() },
+  };
+  let looked = 0;
+  const before = Object.getOwnPropertyDescriptor(Rooms.prototype, 'mostFree')!;
+  const original = before.value as Rooms['mostFree'];
+  Rooms.prototype.mostFree = function (this: Rooms, ...args) {
+    const from = this.looked;
+    const room = original.apply(this, args);
+    looked += this.looked - from;
+    return room;
+  };
+  try {
+    const plan = planRound(snapshot);
+    assert.equal(plan.tasks.length, 400);
+    assert.ok(looked <= 10 * plan.tasks.length, `${looked} rooms for 400 tasks`);
+    looked = 0;
+    for (const m of all)
+      for (let k = 0; k < 8; k++) put(world, 399, all.indexOf(m) * 8 + k + 1000, m, 'full');
+    assert.equal(planRound(snapshot).tasks.length, 0);
+    assert.ok(looked <= 400, `${looked} rooms though none is free`);
+  } finally {
+    Object.defineProperty(Rooms.prototype, 'mostFree', before);
+  }
+});
+
+test('ends of five thousand tasks of many jobs are one change; a finished job is two', () => {
+  const specs = Array.from({ length: 100 }, (_, n) => specOf(n, { tasks: 60 }));
+  const { world, all } = bookOf(specs, 700);
+  const ended: Placement[] = [];
+  for (let j = 0; j < 100; j++) {
+    for (let k = 0; k < 50; k++) ended.push(put(world, j, k, all[(j * 50 + k) % 700]!, `p${j}`));
+  }
+  for (const p of ended) world.end(p, 'done', NOW);
+  const limits = { txnOps: 12, valueKb: 8, note: 'finished/x' as StoreKey, gathered: true };
+  const first = nextSettlement(world, limits)!;
+  assert.equal(first.placements, 5000);
+  assert.equal(first.changes.length, 1);
+  first.apply(2n as Mark);
+  assert.equal(nextSettlement(world, limits), undefined);
+  assert.equal(world.jobs.get(specs[0]!.id)!.done.count, 50);
+  assert.equal(waitingCount(world.jobs.get(specs[0]!.id)!), 10);
+  for (let k = 50; k < 60; k++) world.end(put(world, 0, k, all[k]!, 'last'), 'done', NOW);
+  const last = nextSettlement(world, limits)!;
+  assert.deepEqual(
+    last.changes.map((c) => `${c.op} ${c.key}`),
+    ['delete job/req-000000', 'put end/req-000000'],
+  );
+  last.apply(3n as Mark);
+  assert.ok(world.finishNotes.has('finished/x' as StoreKey), 'others still need the record');
+});
