--- /dev/null
+++ b/src/coordination/consolidate.ts
@@ -0,0 +1,126 @@
+import type { SteadyMs } from '../transport/clock.js';
+import type { MachineType } from '../protocol/cloud.js';
+import type { TypeName, ZoneName } from '../protocol/ids.js';
+import type { Machine, Placement, World } from '../bookkeeping/world.js';
+import { roomFor, zoneAllowed } from './planner.js';
+
+export interface MoveSnapshot {
+  readonly now: SteadyMs;
+  readonly world: World;
+  readonly types: ReadonlyMap<TypeName, MachineType>;
+  /** Machines that stay whatever runs on them: emptying them saves nothing. */
+  readonly standing: ReadonlySet<string>;
+  /** Machines that did not report for so long aren't moved to. */
+  readonly staleMs: number;
+}
+
+/** A replica that has not run for so long is left where it is. */
+const SETTLED_MS = 35_000;
+/** A machine with more of its room in use than this isn't emptied. */
+const MOST_USED = 0.26;
+/** Share of all replicas that may be under way at once: each is missing for a moment. */
+const AT_ONCE = 0.005;
+
+/**
+ * Replicas to move so that machines which hold only a few can be returned. As services end, the rest is left
+ * thinly spread over machines rented for a crowd. A move costs a moment of one replica; it is made only where
+ * other machines in use hold the image and have room for all that is left on the one to be emptied.
+ */
+export function planMoves(s: MoveSnapshot): Placement[] {
+  let services = 0;
+  let moving = 0;
+  const thin: Machine[] = [];
+  const hosts: Machine[] = [];
+  for (const m of s.world.machines.values()) {
+    services += m.used.services;
+    for (const p of m.placements) if (p.stop && p.job.spec.kind === 'service') moving++;
+    const type = s.types.get(m.type);
+    const fit =
+      m.state === 'up' &&
+      m.trusted &&
+      m.lastReport !== undefined &&
+      s.now - m.lastReport <= s.staleMs &&
+      m.noticeAt === undefined &&
+      m.suspectUntil <= s.now &&
+      m.strangers.length === 0;
+    if (!type || !fit || m.used.tasks === 0) continue;
+    if (isThin(m, type, s)) thin.push(m);
+    if (!m.spot) hosts.push(m);
+  }
+  const most = Math.max(1, Math.ceil(services * AT_ONCE)) - moving;
+  thin.sort((a, b) => a.used.tasks - b.used.tasks || (a.id < b.id ? -1 : 1));
+  hosts.sort((a, b) => b.used.services - a.used.services || (a.id < b.id ? -1 : 1));
+  const moves: Placement[] = [];
+  const taken = new Map<Machine, { cpus: number; gpus: number; memoryGb: number }>();
+  const emptied = new Set<Machine>();
+  for (const m of thin) {
+    if (moves.length + m.used.tasks > most) break;
+    if (taken.has(m)) continue; // Others are just moving in.
+    const plan = hostsFor(m, hosts, emptied, taken, s);
+    if (!plan) continue;
+    emptied.add(m);
+    for (const [p, host] of plan) {
+      const t = taken.get(host) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
+      t.cpus += p.job.spec.cpus;
+      t.gpus += p.job.spec.gpus;
+      t.memoryGb += p.job.spec.memoryGb;
+      taken.set(host, t);
+      moves.push(p);
+    }
+  }
+  return moves;
+}
+
+function isThin(m: Machine, type: MachineType, s: MoveSnapshot): boolean {
+  if (s.standing.has(m.id) || m.used.tasks !== m.used.services) return false;
+  const share = type.gpus > 0 ? m.used.gpus / type.gpus : m.used.cpus / type.cpus;
+  if (share > MOST_USED) return false;
+  for (const p of m.placements) {
+    // What is still to be settled or stopped there says that the machine is changing anyway.
+    if (p.ended || p.stop || p.runningSince === undefined || s.now - p.runningSince < SETTLED_MS)
+      return false;
+  }
+  return true;
+}
+
+function hostsFor(
+  m: Machine,
+  hosts: readonly Machine[],
+  emptied: ReadonlySet<Machine>,
+  taken: ReadonlyMap<Machine, { cpus: number; gpus: number; memoryGb: number }>,
+  s: MoveSnapshot,
+): Map<Placement, Machine> | undefined {
+  const plan = new Map<Placement, Machine>();
+  const extra = new Map<Machine, { cpus: number; gpus: number; memoryGb: number }>();
+  for (const p of m.placements) {
+    const { spec } = p.job;
+    const zones = new Map<ZoneName, number>();
+    for (const q of p.job.placements.values()) {
+      if (q !== p && !q.ended) zones.set(q.machine.zone, (zones.get(q.machine.zone) ?? 0) + 1);
+    }
+    const host = hosts.find((h) => {
+      if (h === m || emptied.has(h) || !h.images.has(spec.image)) return false;
+      // Towards the fuller one, or two thin machines would empty into each other in turn.
+      if (h.used.services < m.used.services || (h.used.services === m.used.services && h.id > m.id))
+        return false;
+      if (spec.types !== null && !spec.types.includes(h.type)) return false;
+      const type = s.types.get(h.type)!;
+      const t = taken.get(h);
+      const x = extra.get(h);
+      const free = {
+        cpus: type.cpus - h.used.cpus - (t?.cpus ?? 0) - (x?.cpus ?? 0),
+        gpus: type.gpus - h.used.gpus - (t?.gpus ?? 0) - (x?.gpus ?? 0),
+        memoryGb: type.memoryGb - h.used.memoryGb - (t?.memoryGb ?? 0) - (x?.memoryGb ?? 0),
+      };
+      return roomFor(free, spec) && zoneAllowed(spec, zones, h.zone);
+    });
+    if (!host) return undefined;
+    plan.set(p, host);
+    const x = extra.get(host) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
+    x.cpus += spec.cpus;
+    x.gpus += spec.gpus;
+    x.memoryGb += spec.memoryGb;
+    extra.set(host, x);
+  }
+  return plan.size > 0 ? plan : undefined;
+}
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -13,6 +13,7 @@
 import { LIST_PAGE, RETURN_MOST, type Cloud } from '../bookkeeping/cloud.js';
 import type { Estimates } from '../bookkeeping/estimates.js';
 import type { Machine, World } from '../bookkeeping/world.js';
+import { planMoves } from './consolidate.js';
 import { kindKey, LOST_BOOT, planFleet } from './fleet-planner.js';
 import { graceOf, type Unplaced } from './planner.js';
 import type { HeldTerm, TermKeeper } from './term.js';
@@ -39,6 +40,8 @@
 /** Looks at silent machines per tick: a cut zone is hundreds. */
 const MOST_LOOKS = 40;
 const REFUSED_MS = 8000;
+/** Between two looks for replicas that could share a machine. */
+const MOVE_MS = 3000;
 const STATE_LOG_MS = 10_000;
 
 /** Rents for work that waits, returns what idles, and fences what can't be reached by returning it. */
@@ -108,6 +111,7 @@
       void this.rent({ ...r, request: `${d.held.term}-${++this.hires}` });
     }
     if (plan.giveBack.length > 0) void this.giveBack(plan.giveBack, 'idle');
+    this.consolidate(now, this.standing);
     const lost: MachineId[] = [];
     for (const m of world.machines.values()) {
       const type = d.types.all().get(m.type);
@@ -117,6 +121,23 @@
     if (lost.length > 0) void this.giveBack(lost, 'never came up');
   }
 
+  private movedAt = -Infinity;
+
+  /** In quiet times only: with work waiting, the room beside the replicas is wanted. */
+  private consolidate(now: SteadyMs, standing: ReadonlySet<string>): void {
+    const { d, world } = this;
+    if (now - this.movedAt < MOVE_MS || now - this.since < d.settings.workers.leaseS * 1000) return;
+    if (this.unplaced().some((u) => u.reason !== 'team limit' && u.reason !== 'backing off')) return;
+    this.movedAt = now;
+    const staleMs = d.settings.workers.reportS * 1500;
+    const moves = planMoves({ now, world, types: d.types.all(), standing, staleMs });
+    for (const p of moves) {
+      world.stop(p, graceOf(p.job.spec), 'packed', now);
+      d.log.info('task-moved', { task: `${p.job.id}/${p.index}`, machine: p.machine.id, why: 'packed' });
+    }
+    if (moves.length > 0) this.wake();
+  }
+
   private loggedAt = -Infinity;
 
   private logState(now: SteadyMs): void {
