--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -58,7 +58,6 @@
   note: 'finished/',
   plan: 'plan/',
   receipt: 'receipt/',
-  revision: 'revision/',
   images: 'fleet/images/',
 } as const;
 
@@ -74,7 +73,6 @@
   note: (term: Term, number: number): StoreKey => key(Prefix.note + planId(term, number)),
   plan: (id: PlanId): StoreKey => key(Prefix.plan + id),
   receipt: (id: PlanId): StoreKey => key(Prefix.receipt + id),
-  revision: (id: PlanId): StoreKey => key(Prefix.revision + id),
 };
 
 export const planId = (term: Term, round: number): PlanId => `${pad(term, 20)}-${pad(round, 9)}` as PlanId;
@@ -254,15 +252,6 @@
   .object({ plan: z.string(), sum: z.string(), term: u64 })
   .transform((w) => w as unknown as Receipt);
 
-/** Which of a plan's tasks went back to waiting: the plan itself is never edited. */
-export interface Revision {
-  readonly plan: PlanId;
-  readonly returned: readonly { readonly job: JobId; readonly tasks: string }[];
-}
-export const revisionSchema = z
-  .object({ plan: z.string(), returned: z.array(z.object({ job: z.string(), tasks: z.string() })) })
-  .transform((w) => w as unknown as Revision);
-
 export function rangesOf(indices: readonly number[]): string {
   const sorted = [...indices].sort((a, b) => a - b);
   const parts: string[] = [];
@@ -291,15 +280,31 @@
 export const finishSchema = z.object({ bits: z.string() });
 export const chunkOf = (index: number): number => Math.floor(index / CHUNK);
 
-/** A shared finish record: ends of tasks of many jobs in one change. Never edited. */
+/**
+ * A shared finish record: what became of tasks of many jobs, in one change. Done tasks are named by job; tasks that
+ * went back to waiting also by plan, as a revision of it. Never edited.
+ */
 export interface NoteEntry {
   readonly job: JobId;
   readonly tasks: string;
 }
-export const noteOf = (entries: readonly NoteEntry[]): { jobs: readonly NoteEntry[] } => ({ jobs: entries });
+export interface ReturnEntry extends NoteEntry {
+  readonly plan: PlanId;
+}
+export interface NoteRecord {
+  readonly done: readonly NoteEntry[];
+  readonly returned: readonly ReturnEntry[];
+}
+export const noteOf = (done: readonly NoteEntry[], returned: readonly ReturnEntry[]): NoteRecord => ({
+  done,
+  returned,
+});
 export const noteSchema = z
-  .object({ jobs: z.array(z.object({ job: z.string(), tasks: z.string() })) })
-  .transform((w) => w as { jobs: NoteEntry[] });
+  .object({
+    done: z.array(z.object({ job: z.string(), tasks: z.string() })),
+    returned: z.array(z.object({ plan: z.string(), job: z.string(), tasks: z.string() })),
+  })
+  .transform((w) => w as unknown as NoteRecord);
 
 export class DoneSet {
   private readonly bytes: Uint8Array;
--- a/src/bookkeeping/world.ts
+++ b/src/bookkeeping/world.ts
@@ -89,6 +89,7 @@
   seq: Seq;
   /** Its newest report carried this term's token: nothing an older holder sent can still run. */
   trusted: boolean;
+  trustedAt: SteadyMs;
   /** Rented under this term: no older holder can have sent it anything. */
   own: boolean;
   lastReport: SteadyMs | undefined;
@@ -118,8 +119,8 @@
   readonly id: PlanId;
   /** Tasks of it not settled yet. */
   open: number;
-  readonly returned: Map<JobId, number[]>;
-  hasRevision: boolean;
+  /** Shared finish records that say which of its tasks went back to waiting. */
+  readonly notes: Set<StoreKey>;
 }
 
 /** News of a row come within seconds of its end, so the last few thousand are enough to know. */
@@ -153,8 +154,8 @@
   readonly noticed = new Set<Machine>();
   /** Starts whose answer was lost; they may still run until their worker obeys a higher token. */
   readonly floating = new Set<Placement>();
-  /** Live jobs that each shared finish record mentions; it is garbage when none is left. */
-  readonly finishNotes = new Map<StoreKey, Set<JobId>>();
+  /** Live jobs and plans that each shared finish record mentions; it is garbage when none is left. */
+  readonly finishNotes = new Map<StoreKey, Set<JobId | PlanId>>();
 
   /** The holder's own term; it rises with the token. */
   constructor(public term: Term) {
@@ -204,6 +205,7 @@
       session: 0n as Session,
       seq: 0n as Seq,
       trusted: false,
+      trustedAt: 0 as SteadyMs,
       own: false,
       lastReport: undefined,
       firstKnown: now,
@@ -377,20 +379,43 @@
 
   mention(job: Job, key: StoreKey): void {
     job.finishNotes.add(key);
-    const jobs = this.finishNotes.get(key);
-    if (jobs) jobs.add(job.id);
-    else this.finishNotes.set(key, new Set([job.id]));
+    this.mentioned(key).add(job.id);
+  }
+
+  mentionPlan(plan: PlanState, key: StoreKey): void {
+    plan.notes.add(key);
+    this.mentioned(key).add(plan.id);
+  }
+
+  private mentioned(key: StoreKey): Set<JobId | PlanId> {
+    let all = this.finishNotes.get(key);
+    if (!all) this.finishNotes.set(key, (all = new Set()));
+    return all;
   }
 
   unmention(job: Job, key: StoreKey): void {
     job.finishNotes.delete(key);
-    const jobs = this.finishNotes.get(key);
-    jobs?.delete(job.id);
-    if (jobs && jobs.size > 0) return;
+    this.release(key, job.id);
+  }
+
+  private release(key: StoreKey, id: JobId | PlanId): void {
+    const all = this.finishNotes.get(key);
+    all?.delete(id);
+    if (all && all.size > 0) return;
     this.finishNotes.delete(key);
     this.garbage.add(key);
   }
 
+  /**
+   * All tasks of the plan are settled. Its keys go before any record that says so: a plan read without it would
+   * count its tasks as possibly running. Garbage is removed in this order.
+   */
+  dropPlan(plan: PlanState, keys: readonly StoreKey[]): void {
+    this.plans.delete(plan.id);
+    for (const key of keys) this.garbage.add(key);
+    for (const key of plan.notes) this.release(key, plan.id);
+  }
+
   noteEnded(id: JobId): void {
     this.ended.add(id);
     if (this.ended.size <= ENDED_KEPT) return;
--- a/src/coordination/command.ts
+++ b/src/coordination/command.ts
@@ -66,6 +66,7 @@
   const trusted = machine.trusted || r.token >= world.since || machine.own;
   if (trusted && !machine.trusted) {
     machine.trusted = true;
+    machine.trustedAt = now;
     ctx.wake();
   }
   const commands: Command[] = [];
--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet-planner.ts
@@ -12,6 +12,8 @@
   readonly world: World;
   readonly types: ReadonlyMap<TypeName, MachineType>;
   readonly unplaced: readonly Unplaced[];
+  /** When that was found out: what has come since is not in it. */
+  readonly plannedAt: SteadyMs;
   /** Refused lately: `type/zone/kind`. */
   readonly refusedUntil: ReadonlyMap<string, SteadyMs>;
   /** Requests on their way: machines that are as good as booting. */
@@ -168,7 +170,9 @@
     const kind = { type, zone: m.zone, spot: m.spot };
     if (m.state === 'booting' && (s.now - m.rentedAt) / 1000 < LATE_BOOT * type.bootS) coming.add(kind, 1);
     // Up, but not heard under this term yet: its room is there in a moment, after a take-over above all.
-    if (m.state === 'up' && !m.trusted && s.now - Math.max(m.lastReport ?? 0, m.upSince) < UNHEARD_MS) {
+    // The same for one that was heard only after the round that found no room.
+    const unseen = !m.trusted || m.trustedAt >= s.plannedAt;
+    if (m.state === 'up' && unseen && s.now - Math.max(m.lastReport ?? 0, m.upSince) < UNHEARD_MS) {
       coming.addPart(kind, {
         cpus: type.cpus - m.used.cpus,
         gpus: type.gpus - m.used.gpus,
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -38,7 +38,7 @@
 /** Between two lists, for each page of the last: a big fleet's list is many calls. */
 const LIST_MS = 2000;
 /** Looks at silent machines per tick: a cut zone is hundreds. */
-const MOST_LOOKS = 40;
+const MOST_LOOKS = 100;
 const REFUSED_MS = 8000;
 /** Between two looks for replicas that could share a machine. */
 const MOVE_MS = 3000;
@@ -59,7 +59,8 @@
     private readonly world: World,
     private readonly live: () => boolean,
     private readonly estimates: Estimates,
-    private readonly unplaced: () => readonly Unplaced[],
+    private readonly planned: () => { readonly unplaced: readonly Unplaced[]; readonly at: SteadyMs },
+    private readonly quietZones: (now: SteadyMs) => ReadonlySet<ZoneName>,
     private readonly wake: () => void,
   ) {
     this.since = d.clock.now();
@@ -95,7 +96,8 @@
       now,
       world,
       types: d.types.all(),
-      unplaced: this.unplaced(),
+      unplaced: this.planned().unplaced,
+      plannedAt: this.planned().at,
       refusedUntil: this.refusedUntil,
       pending: [...this.pending],
       standing: this.standing,
@@ -127,7 +129,7 @@
   private consolidate(now: SteadyMs, standing: ReadonlySet<string>): void {
     const { d, world } = this;
     if (now - this.movedAt < MOVE_MS || now - this.since < d.settings.workers.leaseS * 1000) return;
-    if (this.unplaced().some((u) => u.reason !== 'team limit' && u.reason !== 'backing off')) return;
+    if (this.planned().unplaced.some((u) => u.reason !== 'team limit' && u.reason !== 'backing off')) return;
     this.movedAt = now;
     const staleMs = d.settings.workers.reportS * 1500;
     const moves = planMoves({ now, world, types: d.types.all(), standing, staleMs });
@@ -159,7 +161,7 @@
       }
     }
     const waiting: Record<string, number> = {};
-    for (const u of this.unplaced()) waiting[u.reason] = (waiting[u.reason] ?? 0) + u.count;
+    for (const u of this.planned().unplaced) waiting[u.reason] = (waiting[u.reason] ?? 0) + u.count;
     this.d.log.info('fleet-state', { ...count, gpus, running, starting, waiting });
   }
 
@@ -404,13 +406,15 @@
       zone.up++;
       if (quiet(m) > fence) zone.silent.push(m);
     }
-    const isCut = (z: { up: number; silent: Machine[] }): boolean =>
-      z.silent.length > 2 && z.silent.length * 3 > z.up;
-    const cut = [...zones.values()].filter(isCut).length;
+    // A cut shows in the whole zone at once, long before a third of its machines have been late for long.
+    const hushed = this.quietZones(now);
+    const isCut = (z: { up: number; silent: Machine[] }, zone: ZoneName): boolean =>
+      hushed.has(zone) || (z.silent.length > 2 && z.silent.length * 3 > z.up);
+    const cut = [...zones].filter(([name, z]) => isCut(z, name)).length;
     const everywhere = cut > 1 && cut * 2 > zones.size;
     let looks = MOST_LOOKS;
-    for (const zone of zones.values()) {
-      const inCut = isCut(zone);
+    for (const [name, zone] of zones) {
+      const inCut = isCut(zone, name);
       zone.silent.sort((a, b) => b.used.services - a.used.services);
       for (const m of zone.silent) {
         if (looks <= 0) break;
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -61,6 +61,8 @@
 const WITHIN_MS = 300;
 /** The least time between two shared finish records. */
 const GATHER_MS = 1000;
+/** The same where some of it is to be placed again. */
+const PROMPT_MS = 250;
 /** Image notes are worth a handful of changes this often. */
 const IMAGES_MS = 20_000;
 
@@ -75,6 +77,7 @@
   private notedAt = -Infinity;
   fleet: Fleet | undefined;
   unplaced: readonly Unplaced[] = [];
+  private plannedAt = 0 as SteadyMs;
   private readonly estimates = new Estimates();
   private readonly aims: StartAims;
   private nudge: (() => void) | undefined;
@@ -121,7 +124,8 @@
       this.world,
       () => this.live(),
       this.estimates,
-      () => this.unplaced,
+      () => ({ unplaced: this.unplaced, at: this.plannedAt }),
+      (now) => this.quietZones(now),
       () => this.wake(),
     );
     void this.roundLoop();
@@ -468,6 +472,7 @@
       aims: this.aims,
     });
     this.unplaced = result.unplaced;
+    this.plannedAt = from;
     const now = d.clock.now();
     this.planMs = 0.7 * this.planMs + 0.3 * (now - from);
     for (const s of result.stops) {
@@ -543,7 +548,7 @@
     const mark = outcome.value.revision as unknown as Mark;
     const now = d.clock.now();
     d.metrics.timeMs('round-commit', now - sent);
-    world.plans.set(id, { id, open: taken.length, returned: new Map(), hasRevision: false });
+    world.plans.set(id, { id, open: taken.length, notes: new Set() });
     for (const job of jobs) {
       job.everStarted = true;
       // A cancellation may have been written, and heard of, between this commit and its answer.
@@ -639,6 +644,7 @@
               valueKb,
               note: Keys.note(this.held.term, this.notes + 1),
               gathered: now - this.notedAt >= GATHER_MS,
+              prompt: now - this.notedAt >= PROMPT_MS,
             })
           : undefined;
       if (!work) {
@@ -677,10 +683,7 @@
       const { world } = this;
       if (!world || !this.live() || !d.term.canDecide()) continue;
       for (const plan of world.plans.values()) {
-        if (plan.open > 0) continue;
-        world.plans.delete(plan.id);
-        world.garbage.add(Keys.plan(plan.id)).add(Keys.receipt(plan.id));
-        if (plan.hasRevision) world.garbage.add(Keys.revision(plan.id));
+        if (plan.open <= 0) world.dropPlan(plan, [Keys.plan(plan.id), Keys.receipt(plan.id)]);
       }
       await this.keepImages(world);
       const keys = [...world.garbage].slice(0, d.settings.store.txnOps);
--- a/src/coordination/load.ts
+++ b/src/coordination/load.ts
@@ -12,7 +12,6 @@
   Prefix,
   readPlan,
   receiptSchema,
-  revisionSchema,
   rowSchema,
   unseal,
   type PlanGroup,
@@ -39,19 +38,16 @@
   const world = new World(term);
   const now = clock.now();
   const read = (prefix: string) => store.range(prefix, Rank.Finish, goOn);
-  const [rows, finishes, notes, plans, receipts, revisions, images] = await Promise.all([
+  const [rows, finishes, notes, plans, receipts, images] = await Promise.all([
     read(Prefix.job),
     read(Prefix.finish),
     read(Prefix.note),
     read(Prefix.plan),
     read(Prefix.receipt),
-    read(Prefix.revision),
     read(Prefix.images),
   ]);
-  for (const part of [rows, finishes, notes, plans, receipts, revisions])
-    if (!part.ok) return err(part.error.why);
-  if (!rows.ok || !finishes.ok || !notes.ok || !plans.ok || !receipts.ok || !revisions.ok)
-    return err('unreachable');
+  for (const part of [rows, finishes, notes, plans, receipts]) if (!part.ok) return err(part.error.why);
+  if (!rows.ok || !finishes.ok || !notes.ok || !plans.ok || !receipts.ok) return err('unreachable');
 
   if (images.ok) {
     for (const e of images.value.entries) {
@@ -70,10 +66,13 @@
       }
     }
   }
+  // With any record unreadable, what the shared ones say of it is kept for whoever repairs it.
+  let damaged = false;
   for (const e of rows.value.entries) {
     const row = unseal(rowSchema, e.value);
     if (!row.ok) {
       log.error('row-unreadable', { key: e.key, why: row.error });
+      damaged = true;
       continue;
     }
     const cancelledAt = row.value.cancelledAt;
@@ -95,21 +94,27 @@
       job.finishChunks.add(Number(chunk));
     }
   }
+  const returned = new Map<PlanId, { tasks: Map<JobId, number[]>; notes: Set<StoreKey> }>();
   for (const e of notes.value.entries) {
     const note = unseal(noteSchema, e.value);
     if (!note.ok) {
+      // Its tasks then count as not done, or as possibly on: too careful, never too bold.
       log.error('finish-record-unreadable', { key: e.key, why: note.error });
+      damaged = true;
       continue;
     }
-    let needed = false;
-    for (const entry of note.value.jobs) {
+    for (const entry of note.value.done) {
       const job = world.jobs.get(entry.job);
       if (!job) continue;
       for (const i of indicesOf(entry.tasks)) job.done.add(i);
       world.mention(job, e.key);
-      needed = true;
     }
-    if (!needed) world.garbage.add(e.key);
+    for (const entry of note.value.returned) {
+      const back = returned.get(entry.plan) ?? { tasks: new Map<JobId, number[]>(), notes: new Set() };
+      returned.set(entry.plan, back);
+      back.notes.add(e.key);
+      back.tasks.set(entry.job, [...(back.tasks.get(entry.job) ?? []), ...indicesOf(entry.tasks)]);
+    }
   }
   const sums = new Map<PlanId, string>();
   for (const e of receipts.value.entries) {
@@ -117,23 +122,11 @@
     if (receipt.ok) sums.set(receipt.value.plan, receipt.value.sum);
     else log.error('receipt-unreadable', { key: e.key, why: receipt.error });
   }
-  const returned = new Map<PlanId, Map<JobId, number[]>>();
-  for (const e of revisions.value.entries) {
-    const revision = unseal(revisionSchema, e.value);
-    if (!revision.ok) {
-      // Its tasks then count as possibly on: too careful, never too bold.
-      log.error('revision-unreadable', { key: e.key, why: revision.error });
-      continue;
-    }
-    returned.set(
-      revision.value.plan,
-      new Map(revision.value.returned.map((r) => [r.job, indicesOf(r.tasks)])),
-    );
-  }
   for (const e of plans.value.entries) {
     const plan = readPlan(e.value);
     if (!plan.ok) {
       log.error('plan-unreadable', { key: e.key, why: plan.error });
+      damaged = true;
       continue;
     }
     const { id } = plan.value.plan;
@@ -142,12 +135,14 @@
       log.error('plan-without-matching-receipt', { plan: id });
       continue;
     }
-    const back = returned.get(id) ?? new Map<JobId, number[]>();
-    world.plans.set(id, { id, open: 0, returned: new Map(back), hasRevision: returned.has(id) });
+    const back = returned.get(id);
+    const state = { id, open: 0, notes: new Set<StoreKey>() };
+    world.plans.set(id, state);
+    for (const key of back?.notes ?? []) world.mentionPlan(state, key);
     for (const part of plan.value.plan.jobs) {
       const job = world.jobs.get(part.job);
       if (!job) continue;
-      const gone = new Set(back.get(part.job) ?? []);
+      const gone = new Set(back?.tasks.get(part.job) ?? []);
       for (const group of part.on) replayGroup(world, job, id, part.attempt, group, gone, now);
     }
   }
@@ -161,11 +156,10 @@
     for (const p of job.placements.values()) world.stop(p, 0, 'cancelled', now);
   }
   for (const plan of [...world.plans.values()]) {
-    if (plan.open > 0) continue;
-    world.plans.delete(plan.id);
-    const keys: StoreKey[] = [Keys.plan(plan.id), Keys.receipt(plan.id)];
-    if (plan.hasRevision) keys.push(Keys.revision(plan.id));
-    for (const key of keys) world.garbage.add(key);
+    if (plan.open <= 0) world.dropPlan(plan, [Keys.plan(plan.id), Keys.receipt(plan.id)]);
+  }
+  for (const e of damaged ? [] : notes.value.entries) {
+    if (!world.finishNotes.has(e.key)) world.garbage.add(e.key);
   }
   log.info('world-rebuilt', {
     term,
--- a/src/coordination/peers.ts
+++ b/src/coordination/peers.ts
@@ -134,8 +134,13 @@
     const peer = this.peers.find((p) => p.member === member);
     if (!peer) return;
     peer.refusals++;
-    // Twice in a row, with a beat between: a restart of the link alone refuses nothing.
-    if (peer.refusals >= 2) this.onDown(peer.member);
+    // Twice in a row, with a beat between: a restart of the link alone refuses nothing. And somebody else must
+    // answer: when all refuse, a packet filter here is likelier than that all have ended at once, and the lease
+    // tells soon enough (seen: three nodes taking the term from one another in turn).
+    const now = this.clock.now();
+    const others = this.peers.filter((p) => p !== peer);
+    const answered = others.some((p) => p.refusals === 0 && now - p.heardAt < 4 * PING_MS);
+    if (peer.refusals >= 2 && (answered || others.length === 0)) this.onDown(peer.member);
   }
 
   private receive(frame: Frame): void {
--- a/src/coordination/settle.ts
+++ b/src/coordination/settle.ts
@@ -9,7 +9,7 @@
   seal,
   type EndRecord,
   type NoteEntry,
-  type Revision,
+  type ReturnEntry,
 } from '../bookkeeping/records.js';
 import type { Job, Placement, PlanState, World } from '../bookkeeping/world.js';
 
@@ -35,6 +35,8 @@
    * worker's `forget` waits.
    */
   readonly gathered: boolean;
+  /** Whether tasks that go back to waiting may be noted: soon, since they are to be placed again. */
+  readonly prompt: boolean;
 }
 
 /** Jobs of more tasks keep finish records of their own, lest each shared record lives as long as they do. */
@@ -56,7 +58,7 @@
 
 const isDone = (p: Placement): boolean => p.ended?.how === 'done';
 
-function partsOf(world: World, gathered: boolean): JobPart[] {
+function partsOf(world: World, limits: SettleLimits): JobPart[] {
   const byJob = new Map<Job, Map<PlanId, Placement[]>>();
   for (const job of world.jobs.values()) {
     const over = job.cancelledAt !== undefined || job.done.count >= job.spec.tasks || gangCompleted(job, 0);
@@ -75,7 +77,7 @@
     const empty = job.placements.size <= all.length;
     // A cancelled job's tasks are settled together with its end: nothing needs to know of each before.
     if (job.cancelledAt !== undefined && !empty) continue;
-    const urgent = empty || gathered || all.some((p) => !isDone(p));
+    const urgent = empty || limits.gathered || (limits.prompt && all.some((p) => !isDone(p)));
     if (!urgent) continue;
     parts.push({ job, groups: [...plans].map(([plan, placements]) => ({ plan, placements })) });
   }
@@ -84,19 +86,37 @@
 
 /** Ends of tasks of many jobs, for one record. */
 class Note {
-  readonly entries: NoteEntry[] = [];
+  readonly done: NoteEntry[] = [];
+  readonly returned: ReturnEntry[] = [];
   readonly jobs: Job[] = [];
+  readonly plans: PlanState[] = [];
   private size = 256;
 
   constructor(private readonly limit: number) {}
 
-  add(job: Job, indices: readonly number[]): boolean {
+  get empty(): boolean {
+    return this.done.length === 0 && this.returned.length === 0;
+  }
+
+  addDone(job: Job, indices: readonly number[]): boolean {
+    const tasks = rangesOf(indices);
+    if (!this.fits(tasks.length + job.id.length + 24)) return false;
+    this.done.push({ job: job.id, tasks });
+    this.jobs.push(job);
+    return true;
+  }
+
+  addReturned(plan: PlanState, job: Job, indices: readonly number[]): boolean {
     const tasks = rangesOf(indices);
-    const size = tasks.length + job.id.length + 24;
+    if (!this.fits(tasks.length + job.id.length + plan.id.length + 36)) return false;
+    this.returned.push({ plan: plan.id, job: job.id, tasks });
+    this.plans.push(plan);
+    return true;
+  }
+
+  private fits(size: number): boolean {
     if (this.size + size > this.limit) return false;
     this.size += size;
-    this.entries.push({ job: job.id, tasks });
-    this.jobs.push(job);
     return true;
   }
 }
@@ -108,11 +128,9 @@
   const applies: ((mark: Mark) => void)[] = [];
   const jobs: JobId[] = [];
   let placements = 0;
-  // A plan shared by two jobs is revised for one of them per transaction: it has one revision record.
-  const touched = new Set<PlanId>();
   const note = new Note(limits.valueKb * 1024 - 128);
-  for (const part of partsOf(world, limits.gathered)) {
-    const piece = settleJob(world, part, limits.txnOps - 1 - changes.length, touched, note, limits);
+  for (const part of partsOf(world, limits)) {
+    const piece = settleJob(world, part, limits.txnOps - 1 - changes.length, note, limits);
     if (!piece) continue;
     conditions.push(...piece.conditions);
     changes.push(...piece.changes);
@@ -120,10 +138,11 @@
     jobs.push(part.job.id);
     placements += piece.placements;
   }
-  if (note.entries.length > 0) {
-    changes.push({ op: 'put', key: limits.note, value: seal(noteOf(note.entries)) });
+  if (!note.empty) {
+    changes.push({ op: 'put', key: limits.note, value: seal(noteOf(note.done, note.returned)) });
     applies.push(() => {
       for (const job of note.jobs) world.mention(job, limits.note);
+      for (const plan of note.plans) world.mentionPlan(plan, limits.note);
     });
   }
   if (changes.length === 0) return undefined;
@@ -132,7 +151,7 @@
     changes,
     jobs,
     placements,
-    noted: note.entries.length > 0,
+    noted: !note.empty,
     apply: (mark) => {
       for (const apply of applies) apply(mark);
     },
@@ -145,7 +164,6 @@
   world: World,
   part: JobPart,
   room: number,
-  touched: Set<PlanId>,
   note: Note,
   limits: SettleLimits,
 ): Piece | undefined {
@@ -158,9 +176,8 @@
   if (empty && (allDone || cancelled)) return room < 2 ? undefined : endJob(world, job, all, newlyDone);
   if (cancelled) return undefined;
   const done = limits.gathered ? all.filter(isDone) : [];
-  const returned = returnTasks(world, part, room, touched);
-  const ends =
-    done.length > 0 ? noteDone(world, job, done, room - (returned?.changes.length ?? 0), note) : undefined;
+  const returned = limits.prompt ? returnTasks(world, part, note) : undefined;
+  const ends = done.length > 0 ? noteDone(world, job, done, room, note) : undefined;
   const pieces = [returned, ends].filter((p) => p !== undefined);
   if (pieces.length === 0) return undefined;
   return {
@@ -202,65 +219,34 @@
   if (plan) plan.open--;
 }
 
-/** A returned task is a fenced revision of the row: whoever planned on the old generation fails. */
-function returnTasks(world: World, part: JobPart, room: number, touched: Set<PlanId>): Piece | undefined {
-  const { job } = part;
+/**
+ * A returned task is a fenced revision: only this term's holder can write it, and the row's generation rises with
+ * the round that places it anew. The plan itself is never edited.
+ */
+function returnTasks(world: World, part: JobPart, note: Note): Piece | undefined {
   const chosen: Placement[] = [];
-  const writes: { plan: PlanState; closed: boolean; returned: number[] }[] = [];
-  let used = 1;
   for (const group of part.groups) {
     const back = group.placements.filter((p) => !isDone(p));
     const plan = world.plans.get(group.plan);
-    if (back.length === 0 || touched.has(group.plan)) continue;
-    if (!plan) {
-      chosen.push(...back);
+    if (back.length === 0) continue;
+    if (
+      plan &&
+      !note.addReturned(
+        plan,
+        part.job,
+        back.map((p) => p.index),
+      )
+    )
       continue;
-    }
-    const closed = plan.open <= back.length;
-    const cost = closed ? 2 + Number(plan.hasRevision) : 1;
-    if (used + cost > room) continue;
-    used += cost;
     chosen.push(...back);
-    writes.push({ plan, closed, returned: back.map((p) => p.index) });
-  }
-  if (chosen.length === 0 || used > room) return undefined;
-  for (const w of writes) touched.add(w.plan.id);
-  const row = { ...job.row, generation: job.row.generation + 1, term: world.term, done: job.done.count };
-  const changes: Change[] = [{ op: 'put', key: Keys.job(job.id), value: seal(row) }];
-  for (const w of writes) {
-    if (w.closed) {
-      changes.push(
-        { op: 'delete', key: Keys.plan(w.plan.id) },
-        { op: 'delete', key: Keys.receipt(w.plan.id) },
-      );
-      if (w.plan.hasRevision) changes.push({ op: 'delete', key: Keys.revision(w.plan.id) });
-      continue;
-    }
-    const back = new Map(w.plan.returned);
-    back.set(job.id, [...(back.get(job.id) ?? []), ...w.returned]);
-    const revision: Revision = {
-      plan: w.plan.id,
-      returned: [...back].map(([id, tasks]) => ({ job: id, tasks: rangesOf(tasks) })),
-    };
-    changes.push({ op: 'put', key: Keys.revision(w.plan.id), value: seal(revision) });
   }
+  if (chosen.length === 0) return undefined;
   return {
-    conditions: [{ key: Keys.job(job.id), mark: job.mark }],
-    changes,
+    conditions: [],
+    changes: [],
     placements: chosen.length,
-    apply(mark) {
+    apply() {
       for (const p of chosen) settleIn(world, p);
-      for (const w of writes) {
-        if (w.closed) world.plans.delete(w.plan.id);
-        else {
-          w.plan.returned.set(job.id, [...(w.plan.returned.get(job.id) ?? []), ...w.returned]);
-          w.plan.hasRevision = true;
-        }
-      }
-      if (mark > job.mark) {
-        job.row = row;
-        job.mark = mark;
-      }
     },
   };
 }
@@ -285,14 +271,14 @@
   const own = job.spec.tasks > SHARED_MOST_TASKS || job.finishNotes.size >= MOST_NOTES;
   if (!own) {
     if (
-      note.add(
+      note.addDone(
         job,
         done.map((p) => p.index),
       )
     )
       return { conditions: [], changes: [], placements: done.length, apply: settle };
     // No room left beside others: next time. What doesn't fit alone takes a record of its own.
-    if (note.entries.length > 0) return undefined;
+    if (!note.empty) return undefined;
   }
   const chunks = new Map<number, number[]>();
   for (const p of done) {
--- a/test/indexes.test.ts
+++ b/test/indexes.test.ts
@@ -89,7 +89,7 @@
 function put(world: Book, job: number, index: number, machine: Machine, plan: string): Placement {
   const id = `req-${String(job).padStart(6, '0')}` as JobId;
   const planId = plan as PlanId;
-  const state = world.plans.get(planId) ?? { id: planId, open: 0, returned: new Map(), hasRevision: false };
+  const state = world.plans.get(planId) ?? { id: planId, open: 0, notes: new Set<StoreKey>() };
   world.plans.set(planId, state);
   state.open++;
   const target = world.jobs.get(id)!;
@@ -208,7 +208,7 @@
     for (let k = 0; k < 50; k++) ended.push(put(world, j, k, all[(j * 50 + k) % 700]!, `p${j}`));
   }
   for (const p of ended) world.end(p, 'done', NOW);
-  const limits = { txnOps: 12, valueKb: 8, note: 'finished/x' as StoreKey, gathered: true };
+  const limits = { txnOps: 12, valueKb: 8, note: 'finished/x' as StoreKey, gathered: true, prompt: true };
   const first = nextSettlement(world, limits)!;
   assert.equal(first.placements, 5000);
   assert.equal(first.changes.length, 1);
