--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -423,7 +423,9 @@
           ? fence
           : !everywhere && m.used.services > 0
             ? Math.max(fence, leaseS * 850)
-            : pastLease;
+            : holdsGang(m) || everywhere
+              ? pastLease
+              : Math.max(pastLease, leaseS * 3000);
         if (quiet(m) < patience) continue;
         if (m.placements.size === 0 && m.strangers.length === 0 && quiet(m) < 3 * fence) continue;
         if (m.probedAt !== undefined && now - m.probedAt < 3000) continue;
@@ -457,3 +459,8 @@
     this.fenced.add(m.id);
   }
 }
+
+function holdsGang(m: Machine): boolean {
+  for (const p of m.placements) if (!p.ended && p.job.spec.kind === 'gang') return true;
+  return false;
+}
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -62,7 +62,7 @@
 /** The least time between two shared finish records. */
 const GATHER_MS = 1000;
 /** The same where some of it is to be placed again. */
-const PROMPT_MS = 250;
+const PROMPT_MS = 500;
 /** Image notes are worth a handful of changes this often. */
 const IMAGES_MS = 20_000;
 
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -80,7 +80,7 @@
   },
   'holder-share': {
     field: 'holderShare',
-    fallback: 0.8,
+    fallback: 0.85,
     min: 0.34,
     max: 0.9,
     meaning: "the term holder's share of the state service's rates",
