--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -228,7 +228,7 @@
   return (1 + lost) * (p.job.spec.gpus + p.job.spec.cpus / 100);
 }
 
-/** Jobs for which a round looks into stopping others: the first in order; the rest has its turn in later rounds. */
+/** Jobs of each sort for which a round looks into stopping others: the first in order; the rest has its turn in later rounds. */
 const MOST_SEARCHES = 24;
 
 /** What a failed search says of others like it: no room for so much, of such kinds, in such zones. */
@@ -249,7 +249,7 @@
   private readonly strangers = new Set<string>();
   private readonly full: Shape[] = [];
   private readonly coldOnly = new Set<JobId>();
-  private searches = 0;
+  private readonly searches = { gangs: 0, others: 0 };
   private releases:
     { readonly room: Room; readonly spec: JobSpec; readonly inS: number; taken: boolean }[] | undefined;
 
@@ -619,7 +619,9 @@
    */
   private makeRoom(job: Job, count: number): void {
     const { spec } = job;
-    if (++this.searches > MOST_SEARCHES) return;
+    // Gangs have turns of their own: a backlog of arrays before them must not use all of them up.
+    const turn = spec.kind === 'gang' && spec.tasks > 1 ? 'gangs' : 'others';
+    if (++this.searches[turn] > MOST_SEARCHES) return;
     const zones = zonesOf(job);
     let wanted = Math.min(count - this.servedByReleases(job, count, zones), 64);
     if (wanted <= 0) return;
