--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -441,6 +441,8 @@
       const score = [
         Number(spec.spot && room.machine.spot),
         Number(this.holdsImage(room.machine, job)),
+        // Spread work is spread evenly, not just within its bound: a cut zone then takes the fewest replicas.
+        spec.spread ? -(zones.get(room.machine.zone) ?? 0) : 0,
         -room.type.gpus - room.type.cpus / 1000,
         // Among holders of the image, services go where services are and all else to the fullest, so that
         // the emptier machines can empty and be returned.
