--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -585,6 +585,9 @@
   private servedByReleases(job: Job, count: number, zones: ReadonlyMap<ZoneName, number>): number {
     const { spec } = job;
     if (spec.kind === 'gang' && spec.tasks > 1) return 0;
+    // A replica that ran and is missing is an outage now: it doesn't wait in hope (seen: seven seconds each, for
+    // every replica of a zone that was cut off).
+    if (spec.kind === 'service' && job.everStarted) return 0;
     const aims = [this.s.aims.byClass.get(spec.class)];
     if (this.within.has(job.id)) aims.push(this.s.aims.guaranteeS);
     const aim = Math.min(...aims.map((a) => a ?? Infinity));
