--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet-planner.ts
@@ -144,7 +144,7 @@
   if (fitting.length === 0) return 0;
   const boot = Math.min(...fitting.map((t) => t.bootS));
   const fetch = spec.imageGb / Math.max(...fitting.map((t) => t.fetchGbPerS), 1e-3);
-  const runS = s.estimates.cautious(spec);
+  const runS = s.estimates.of(spec);
   const age = (s.now - job.acceptedAt) / 1000;
   const within = spec.deadlineS ?? s.finishWithin.get(spec.class);
   // The latest start that still makes the aim; and never sooner than a rented machine could start it.
