--- a/test/standin/net.ts
+++ b/test/standin/net.ts
@@ -8,7 +8,7 @@
 export type Server = (from: string, method: string, path: string, body: Uint8Array) => Promise<Reply> | Reply;
 
 /** How a cut link treats what is sent: lost, kept and delivered late, or refused at once. */
-export type CutMode = 'drop' | 'hold' | 'reset';
+export type CutMode = 'drop' | 'hold' | 'reset' | 'refuse';
 
 interface Cut {
   readonly a: string;
@@ -58,7 +58,7 @@
     const cut = this.cutBetween(from, to);
     if (cut) {
       if (cut.mode === 'hold') cut.held.push(deliver);
-      return cut.mode === 'reset' ? 'reset' : 'sent';
+      return cut.mode === 'reset' || cut.mode === 'refuse' ? 'reset' : 'sent';
     }
     this.world.after(0.5 + this.random.next() * 3, deliver);
     return 'sent';
@@ -99,12 +99,14 @@
 
   mesh(self: string): Mesh {
     return {
-      send: (peer, frame) =>
-        void this.carry(self, peer, () => {
+      send: (peer, frame) => {
+        if (this.cutBetween(self, peer)?.mode === 'refuse') this.refusals.get(self)?.(peer);
+        this.carry(self, peer, () => {
           const deliver = this.meshes.get(peer);
           if (deliver) deliver(frame);
           else this.carry(peer, self, () => this.refusals.get(self)?.(peer));
-        }),
+        });
+      },
       onFrame: (listen) => void this.meshes.set(self, listen),
       onRefused: (listen) => void this.refusals.set(self, listen),
     };
--- a/test/standin/scenario.ts
+++ b/test/standin/scenario.ts
@@ -288,6 +288,10 @@
     const rises = u.events.get('term-rises') ?? 0;
     return rises >= Number(third) ? undefined : `the term rose ${rises} times`;
   }
+  if (subject === 'takes') {
+    const takes = u.events.get('term-taken') ?? 0;
+    return takes <= Number(third) ? undefined : `the term was taken ${takes} times`;
+  }
   if (subject === 'raises') {
     const raises = u.events.get('term-raised') ?? 0;
     const loads = u.events.get('world-rebuilt') ?? 0;
