--- a/test/indexes.test.ts
+++ b/test/indexes.test.ts
@@ -23,6 +23,7 @@
 } from '../src/protocol/ids.js';
 import type { JobSpec } from '../src/protocol/jobs.js';
 import type { SteadyMs } from '../src/transport/clock.js';
+import { addQueued } from './standin/books.js';
 import { machineType, team } from './standin/universe.js';
 
 /** Indexes against a plain recount, and how little is looked at and written when the fleet is large. */
@@ -57,23 +58,7 @@
 
 function bookOf(specs: readonly JobSpec[], machines: number): { world: Book; all: Machine[] } {
   const world = new Book(1n as Term);
-  specs.forEach((spec, i) =>
-    world.addJob(
-      {
-        spec,
-        state: 'queued',
-        generation: 0,
-        term: 0n as Term,
-        attempt: 0,
-        done: 0,
-        acceptedAt: i as never,
-        cancelledAt: null,
-      },
-      1n as Mark,
-      0 as SteadyMs,
-      undefined,
-    ),
-  );
+  addQueued(world, specs);
   const all = Array.from({ length: machines }, (_, i) => {
     const id = `m-${String(i).padStart(6, '0')}` as MachineId;
     const m = world.addMachine(id, 'g8' as TypeName, ZONES[i % 4] as ZoneName, i % 5 === 0, NOW, NOW);
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -22,7 +22,6 @@
   ImageName,
   JobId,
   MachineId,
-  Mark,
   TeamName,
   Term,
   TypeName,
@@ -35,6 +34,7 @@
 import { parseSettings } from '../src/protocol/settings.js';
 import type { SteadyMs } from '../src/transport/clock.js';
 import { ProcessClock, World } from './standin/clock.js';
+import { addQueued } from './standin/books.js';
 import { machineType, team } from './standin/universe.js';
 
 const SEED = { seed: 20260, numRuns: 200 };
@@ -245,23 +245,7 @@
 function build(s: Scene): { snapshot: Snapshot; jobs: Job[]; machines: Machine[] } {
   const now = 10_000 as SteadyMs;
   const world = new Book(1n as Term);
-  const jobs = s.specs.map((sp, i) =>
-    world.addJob(
-      {
-        spec: sp,
-        state: 'queued',
-        generation: 0,
-        term: 0n as Term,
-        attempt: 0,
-        done: 0,
-        acceptedAt: i as never,
-        cancelledAt: null,
-      },
-      1n as Mark,
-      0 as SteadyMs,
-      undefined,
-    ),
-  );
+  const jobs = addQueued(world, s.specs);
   const machines = s.machines.map((m, i) => {
     const machine = world.addMachine(
       `m-${i}` as MachineId,
