--- a/src/coordination/consolidate.ts
+++ b/src/coordination/consolidate.ts
@@ -2,7 +2,7 @@
 import type { MachineType } from '../protocol/cloud.js';
 import type { TypeName, ZoneName } from '../protocol/ids.js';
 import type { Machine, Placement, World } from '../bookkeeping/world.js';
-import { roomFor, zoneAllowed } from './planner.js';
+import { roomFor, usable, zoneAllowed } from './planner.js';
 
 export interface MoveSnapshot {
   readonly now: SteadyMs;
@@ -35,15 +35,7 @@
     services += m.used.services;
     for (const p of m.placements) if (p.stop && p.job.spec.kind === 'service') moving++;
     const type = s.types.get(m.type);
-    const fit =
-      m.state === 'up' &&
-      m.trusted &&
-      m.lastReport !== undefined &&
-      s.now - m.lastReport <= s.staleMs &&
-      m.noticeAt === undefined &&
-      m.suspectUntil <= s.now &&
-      m.strangers.length === 0;
-    if (!type || !fit || m.used.tasks === 0) continue;
+    if (!type || !usable(m, s) || m.used.tasks === 0) continue;
     if (isThin(m, type, s)) thin.push(m);
     if (!m.spot) hosts.push(m);
   }
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -172,7 +172,7 @@
 
 const isProduction = (job: Job): boolean => job.spec.priority === 'production';
 
-export const usable = (m: Machine, s: Snapshot): boolean =>
+export const usable = (m: Machine, s: Pick<Snapshot, 'now' | 'staleMs' | 'quietZones'>): boolean =>
   m.state === 'up' &&
   m.trusted &&
   m.lastReport !== undefined &&
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -2,12 +2,23 @@
 import { err, ok, type Result } from './result.js';
 import type { CallFailure, HttpClient, Reply } from './http.js';
 
+/** Longer than any answer may take, the longest watch included. */
+const IDLE_MS = 15_000;
+
 /**
  * Keep-alive connections with a deadline on every call. A call that misses its deadline loses its
  * connection too: a held connection would otherwise swallow the calls behind it.
  */
-export function netHttpClient(maxSockets: number, contentType: string): HttpClient {
-  const agent = new Agent({ keepAlive: true, maxSockets, maxFreeSockets: 16, scheduling: 'fifo' });
+export function netHttpClient(maxSockets: number, contentType: string, idleMs = IDLE_MS): HttpClient {
+  // A connection to each of a thousand workers, and to those long gone, would use up this node's sockets: one that
+  // nobody has used for a while is closed.
+  const agent = new Agent({
+    keepAlive: true,
+    maxSockets,
+    maxFreeSockets: 16,
+    scheduling: 'fifo',
+    timeout: idleMs,
+  });
   const attempt = (
     address: string,
     method: string,
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -18,15 +18,7 @@
 import { World as Book, type Job, type Machine } from '../src/bookkeeping/world.js';
 import { planRound, withinGuarantee, type Snapshot } from '../src/coordination/planner.js';
 import { decode, decodeAs, encode } from '../src/protocol/codec.js';
-import type {
-  ImageName,
-  JobId,
-  MachineId,
-  TeamName,
-  Term,
-  TypeName,
-  ZoneName,
-} from '../src/protocol/ids.js';
+import type { ImageName, JobId, MachineId, TeamName, Term, TypeName, ZoneName } from '../src/protocol/ids.js';
 import { encodeSubmission, submission, type JobSpec } from '../src/protocol/jobs.js';
 import { parseOperator } from '../src/protocol/operator.js';
 import { F } from '../src/protocol/wire.js';
--- a/test/transport.test.ts
+++ b/test/transport.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { spawnSync } from 'node:child_process';
 import { mkdtempSync, writeFileSync } from 'node:fs';
+import { createServer as createHttpServer } from 'node:http';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -55,6 +56,27 @@
   });
 });
 
+test('a connection that nobody uses is closed, and the next call opens another', async () => {
+  let open = 0;
+  const server = createHttpServer((_, res) => res.end('x'));
+  server.keepAliveTimeout = 60_000;
+  server.on('connection', (socket) => {
+    open++;
+    socket.on('close', () => open--);
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as { port: number };
+  const brief = netHttpClient(4, type, 200);
+  const get = () => brief.call(`127.0.0.1:${port}`, 'GET', '/', undefined, 2000);
+  assert.ok((await get()).ok);
+  assert.equal(open, 1);
+  for (let i = 0; i < 100 && open > 0; i++) await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(open, 0);
+  assert.ok((await get()).ok);
+  server.closeAllConnections();
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+});
+
 test('a refused connection is told from an answer that never came', async () => {
   const silent = createServer((socket) => void socket.on('error', () => undefined).resume());
   await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve));
