A controller's own lateness is not taken for anybody's silence; stall scenarios

Cause: on a fraction of a core the peaks (first minute, take-over, cut zone) hold a controller up; its timers fire before it reads what came meanwhile. Silence of machines, zones and the state service is now measured without the time in which nothing could be read. Leases, cancellations and promises go by the steady clock as before; absence from the list and proofs are untouched. Event-loop delay, time lost to stalls, memory and processor time are in /ops/metrics.

--- a/src/coordination/consolidate.ts
+++ b/src/coordination/consolidate.ts
@@ -12,6 +12,8 @@
   readonly standing: ReadonlySet<string>;
   /** Machines that did not report for so long aren't moved to. */
   readonly staleMs: number;
+  /** Time since then in which this process could hear. */
+  readonly silentMs: (then: SteadyMs) => number;
 }
 
 /** A replica that has not run for so long is left where it is. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,3 +1,4 @@
+import { Attention } from '../transport/attention.js';
 import { Budget, Rank } from '../transport/budget.js';
 import { DRIFT, sleep, type Clock } from '../transport/clock.js';
 import type { HttpClient, Reply, Route } from '../transport/http.js';
@@ -60,12 +61,15 @@
   private readonly requests: Budget;
   private readonly writes: Budget;
   holder: Holder | undefined;
+  private readonly attention: Attention;
   /** How long after the last sight of all cancellations a report may be answered. */
   private readonly blindMs: number;
 
   constructor(private readonly d: ControllerDeps) {
     const { settings, operator, clock, random, log } = d;
     const { store, workers } = settings;
+    this.attention = new Attention(clock);
+    d.metrics.gauge('lostToStallsMs', () => Math.round(this.attention.lostMs));
     const roundReserve = 1 - operator.roundWriteShare;
     this.requests = new Budget(clock, store.rps, {
       [Rank.Lease]: 0,
@@ -113,6 +117,7 @@
     this.types = new TypeBook(this.cloud, this.store, clock, random, log);
     this.users = new Users({
       clock,
+      attention: this.attention,
       log,
       store: this.store,
       mirror: this.mirror,
@@ -130,6 +135,7 @@
       this.holder = new Holder(
         {
           clock,
+          attention: this.attention,
           random,
           log,
           store: this.store,
@@ -188,7 +194,7 @@
 
   private storeOk(): boolean {
     const { store } = this;
-    const silentMs = this.d.clock.now() - store.lastContact;
+    const silentMs = this.attention.since(store.lastContact);
     // Refusals come at once, so two in a row say more than a long silence.
     return store.failures >= 2 ? silentMs < 800 : silentMs < 3500;
   }
--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet-planner.ts
@@ -9,6 +9,8 @@
 
 export interface FleetSnapshot {
   readonly now: SteadyMs;
+  /** Time since then in which this process could hear. */
+  readonly silentMs: (then: SteadyMs) => number;
   readonly world: World;
   readonly types: ReadonlyMap<TypeName, MachineType>;
   readonly unplaced: readonly Unplaced[];
@@ -172,7 +174,11 @@
     // Up, but not heard under this term yet: its room is there in a moment, after a take-over above all.
     // The same for one that was heard only after the round that found no room.
     const unseen = !m.trusted || m.trustedAt >= s.plannedAt;
-    if (m.state === 'up' && unseen && s.now - Math.max(m.lastReport ?? 0, m.upSince) < UNHEARD_MS) {
+    if (
+      m.state === 'up' &&
+      unseen &&
+      s.silentMs(Math.max(m.lastReport ?? 0, m.upSince) as SteadyMs) < UNHEARD_MS
+    ) {
       coming.addPart(kind, {
         cpus: type.cpus - m.used.cpus,
         gpus: type.gpus - m.used.gpus,
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -1,3 +1,4 @@
+import type { Attention } from '../transport/attention.js';
 import { Rank } from '../transport/budget.js';
 import { plus, sleep, type Clock, type SteadyMs } from '../transport/clock.js';
 import type { HttpClient } from '../transport/http.js';
@@ -21,6 +22,7 @@
 
 export interface FleetDeps {
   readonly clock: Clock;
+  readonly attention: Attention;
   readonly random: Random;
   readonly log: Log;
   readonly cloud: Cloud;
@@ -60,7 +62,7 @@
     private readonly live: () => boolean,
     private readonly estimates: Estimates,
     private readonly planned: () => { readonly unplaced: readonly Unplaced[]; readonly at: SteadyMs },
-    private readonly quietZones: (now: SteadyMs) => ReadonlySet<ZoneName>,
+    private readonly quietZones: () => ReadonlySet<ZoneName>,
     private readonly wake: () => void,
   ) {
     this.since = d.clock.now();
@@ -94,6 +96,7 @@
     if (this.listed === 0 || this.standing === undefined) return;
     const plan = planFleet({
       now,
+      silentMs: (then) => d.attention.since(then),
       world,
       types: d.types.all(),
       unplaced: this.planned().unplaced,
@@ -132,7 +135,14 @@
     if (this.planned().unplaced.some((u) => u.reason !== 'team limit' && u.reason !== 'backing off')) return;
     this.movedAt = now;
     const staleMs = d.settings.workers.reportS * 1500;
-    const moves = planMoves({ now, world, types: d.types.all(), standing, staleMs });
+    const moves = planMoves({
+      now,
+      world,
+      types: d.types.all(),
+      standing,
+      staleMs,
+      silentMs: (then) => d.attention.since(then),
+    });
     for (const p of moves) {
       world.stop(p, graceOf(p.job.spec), 'packed', now);
       d.log.info('task-moved', { task: `${p.job.id}/${p.index}`, machine: p.machine.id, why: 'packed' });
@@ -397,7 +407,9 @@
     const fence =
       d.operator.silentFenceS > 0 ? d.operator.silentFenceS * 1000 : Math.max(2500 * reportS, 12_000);
     const pastLease = 1.5 * fence + leaseS * 1000;
-    const quiet = (m: Machine): number => now - Math.max(m.lastReport ?? 0, m.upSince, this.since);
+    // What this process was too late to read isn't a machine's silence.
+    const quiet = (m: Machine): number =>
+      d.attention.since(Math.max(m.lastReport ?? 0, m.upSince, this.since) as SteadyMs);
     const zones = new Map<ZoneName, { up: number; silent: Machine[] }>();
     for (const m of world.machines.values()) {
       if (m.state !== 'up') continue;
@@ -407,7 +419,7 @@
       if (quiet(m) > fence) zone.silent.push(m);
     }
     // A cut shows in the whole zone at once, long before a third of its machines have been late for long.
-    const hushed = this.quietZones(now);
+    const hushed = this.quietZones();
     const isCut = (z: { up: number; silent: Machine[] }, zone: ZoneName): boolean =>
       hushed.has(zone) || (z.silent.length > 2 && z.silent.length * 3 > z.up);
     const cut = [...zones].filter(([name, z]) => isCut(z, name)).length;
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -125,7 +125,7 @@
       () => this.live(),
       this.estimates,
       () => ({ unplaced: this.unplaced, at: this.plannedAt }),
-      (now) => this.quietZones(now),
+      () => this.quietZones(),
       () => this.wake(),
     );
     void this.roundLoop();
@@ -211,7 +211,7 @@
    * Zones with many machines from which nothing has come for many times their usual gap: likely cut off, known
    * long before any one machine is late. Nothing new goes there, and no direct start that might float.
    */
-  private quietZones(now: SteadyMs): ReadonlySet<ZoneName> {
+  private quietZones(): ReadonlySet<ZoneName> {
     const up = new Map<ZoneName, number>();
     for (const m of this.world?.machines.values() ?? []) {
       if (m.state === 'up' && m.lastReport !== undefined) up.set(m.zone, (up.get(m.zone) ?? 0) + 1);
@@ -220,7 +220,8 @@
     for (const [zone, n] of up) {
       if (n < 5) continue;
       const gapMs = (this.d.settings.workers.reportS * 1000) / n;
-      if (now - (this.zoneHeard.get(zone) ?? 0) > Math.max(1000, 15 * gapMs)) quiet.add(zone);
+      const silentMs = this.d.attention.since(this.zoneHeard.get(zone) ?? (0 as SteadyMs));
+      if (silentMs > Math.max(1000, 15 * gapMs)) quiet.add(zone);
     }
     return quiet;
   }
@@ -229,13 +230,13 @@
    * A holder that no worker reaches any more, while it holds the store, would let every lease run out: another
    * node may be reached. Judged by all machines together, in far less time than a lease.
    */
-  private isDeaf(now: SteadyMs): boolean {
+  private isDeaf(): boolean {
     const { reportS, leaseS } = this.d.settings.workers;
     let up = 0;
     for (const m of this.world?.machines.values() ?? []) if (m.state === 'up') up++;
     if (up < 2) return false;
     const windowMs = Math.min(leaseS * 400, Math.max(2500, (12_000 * reportS) / up));
-    return now - this.heardAt > windowMs;
+    return this.d.attention.since(this.heardAt) > windowMs;
   }
 
   // ---- direct commands ------------------------------------------------------------------------------
@@ -253,7 +254,8 @@
     const { address, lastReport, session } = machine;
     if (!world || address === undefined || lastReport === undefined || !machine.trusted) return;
     // A machine that is late with its report is likely to leave the answer open.
-    const lively = now - lastReport < d.settings.workers.reportS * 1500 && now >= this.ordersFrom;
+    const lively =
+      d.attention.since(lastReport) < d.settings.workers.reportS * 1500 && now >= this.ordersFrom;
     if (!lively || this.quiet.has(machine.zone) || !d.term.canDecide() || machine.state !== 'up') return;
     const usable = starts.filter(
       (p) => !p.ended && !p.stop && p.session === session && p.sentSeq === undefined,
@@ -385,7 +387,7 @@
       const { world } = this;
       if (!world || !this.live() || !d.term.canDecide()) continue;
       const now = d.clock.now();
-      this.deaf = this.isDeaf(now) ? this.deaf + 1 : 0;
+      this.deaf = this.isDeaf() ? this.deaf + 1 : 0;
       // Twice in a row: a process that was merely late has read what waited for it in between.
       if (this.deaf > 1) return d.term.standDown('no worker is heard');
       if (now - this.raisedAt < gapMs) continue;
@@ -452,7 +454,7 @@
     const { d } = this;
     const { workers, store } = d.settings;
     const from = d.clock.now();
-    this.quiet = this.quietZones(from);
+    this.quiet = this.quietZones();
     if (from - this.withinAt >= WITHIN_MS) {
       this.within = withinGuarantee(world.jobs.values(), d.teams);
       this.withinAt = from;
@@ -465,6 +467,7 @@
       types: d.types.all(),
       teams: d.teams,
       staleMs: workers.reportS * 2500,
+      silentMs: (then) => d.attention.since(then),
       maxTasks: d.operator.roundTasks,
       maxJobs: store.txnOps - 2,
       preemptAfterMs: 1500,
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -24,6 +24,8 @@
   readonly teams: ReadonlyMap<TeamName, TeamLimits>;
   /** Machines that did not report for so long get no new tasks. */
   readonly staleMs: number;
+  /** Time since then in which this process could hear: its own lateness is no machine's silence. */
+  readonly silentMs: (then: SteadyMs) => number;
   readonly maxTasks: number;
   readonly maxJobs: number;
   /** How long a job waits before running work is stopped for it. */
@@ -172,11 +174,14 @@
 
 const isProduction = (job: Job): boolean => job.spec.priority === 'production';
 
-export const usable = (m: Machine, s: Pick<Snapshot, 'now' | 'staleMs' | 'quietZones'>): boolean =>
+export const usable = (
+  m: Machine,
+  s: Pick<Snapshot, 'now' | 'staleMs' | 'silentMs' | 'quietZones'>,
+): boolean =>
   m.state === 'up' &&
   m.trusted &&
   m.lastReport !== undefined &&
-  s.now - m.lastReport <= s.staleMs &&
+  s.silentMs(m.lastReport) <= s.staleMs &&
   m.noticeAt === undefined &&
   m.suspectUntil <= s.now &&
   !s.quietZones?.has(m.zone) &&
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -1,4 +1,5 @@
 import { Rank } from '../transport/budget.js';
+import type { Attention } from '../transport/attention.js';
 import type { Clock } from '../transport/clock.js';
 import type { Reply } from '../transport/http.js';
 import type { Log } from '../transport/log.js';
@@ -24,6 +25,7 @@
 
 export interface UsersDeps {
   readonly clock: Clock;
+  readonly attention: Attention;
   readonly log: Log;
   readonly store: Store;
   readonly mirror: Mirror;
@@ -62,7 +64,7 @@
   constructor(private readonly d: UsersDeps) {}
 
   private storeAway(): boolean {
-    return this.d.clock.now() - this.d.store.lastContact > 4000;
+    return this.d.attention.since(this.d.store.lastContact) > 4000;
   }
 
   // ---- submit ---------------------------------------------------------------------------------------
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import { randomInt } from 'node:crypto';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { systemClock } from './transport/clock.js';
 import { netHttpClient } from './transport/http-client.js';
 import { serveHttp } from './transport/http-server.js';
@@ -21,6 +22,24 @@
     log.error('uncaught', { why: e.stack ?? e.message });
     process.exit(EXIT.serving);
   });
+  const delay = monitorEventLoopDelay({ resolution: 100 });
+  delay.enable();
+  const ms = (ns: number): number => Math.round(ns / 1e5) / 10;
+  metrics.gauge('eventLoopDelayMs', () => ({
+    p50: ms(delay.percentile(50)),
+    p99: ms(delay.percentile(99)),
+    max: ms(delay.max),
+  }));
+  metrics.gauge('memoryMb', () => {
+    const { rss, heapTotal, heapUsed, external } = process.memoryUsage();
+    return Object.fromEntries(
+      Object.entries({ rss, heapTotal, heapUsed, external }).map(([k, v]) => [k, Math.round(v / 1e5) / 10]),
+    );
+  });
+  metrics.gauge('processorS', () => {
+    const { user, system } = process.cpuUsage();
+    return Math.round((user + system) / 1e4) / 100;
+  });
   const incarnation = randomInt(1, 2 ** 47);
   const peers = new Map(settings.peers.map((p) => [p.member as string, p.address as string]));
   const controller = new Controller({
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -4,8 +4,14 @@
 /** Counters and latency histograms for operators. */
 export class Metrics {
   private readonly counters = new Map<string, number>();
+  private readonly gauges = new Map<string, () => unknown>();
   private readonly histograms = new Map<string, Histogram>();
 
+  /** Asked for when somebody looks, so that it costs nothing otherwise. */
+  gauge(name: string, read: () => unknown): void {
+    this.gauges.set(name, read);
+  }
+
   count(name: string, by = 1): void {
     this.counters.set(name, (this.counters.get(name) ?? 0) + by);
   }
@@ -35,7 +41,8 @@
         max: h.maxValue,
       };
     }
-    return { counters: Object.fromEntries([...this.counters].sort()), latenciesMs: latencies };
+    const process = Object.fromEntries([...this.gauges].map(([name, read]) => [name, read()]));
+    return { counters: Object.fromEntries([...this.counters].sort()), latenciesMs: latencies, process };
   }
 
   /** Every decision is a log line, so counting lines counts decisions, at any log level. */
--- a/test/indexes.test.ts
+++ b/test/indexes.test.ts
@@ -156,6 +156,7 @@
     types: TYPES,
     teams: new Map([team('red', 1000, 9000), team('blue', 1000, 9000)].map((t) => [t.name, t])),
     staleMs: 5000,
+    silentMs: (then: SteadyMs) => NOW - then,
     maxTasks: 400,
     maxJobs: 10,
     preemptAfterMs: 0,
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -258,6 +258,7 @@
     types,
     teams,
     staleMs: 5000,
+    silentMs: (then: SteadyMs) => now - then,
     maxTasks: 100,
     maxJobs: 10,
     preemptAfterMs: 0,
--- a/test/proofs.test.ts
+++ b/test/proofs.test.ts
@@ -127,6 +127,28 @@
   saved: false,
 };
 
+test('a report that says the same as before is not matched again, until the books change', () => {
+  const { ctx, p, report } = setUp();
+  const { world } = ctx;
+  const say = (seq: bigint, tasks = [shown]) => handleReport(ctx, report({ seq: seq as Seq, tasks }));
+  say(11n);
+  const matched = world.matched;
+  assert.deepEqual(say(12n), []);
+  assert.equal(world.matched, matched);
+  // The same task in other words is looked at.
+  say(13n, [{ ...shown, state: 'saving' }]);
+  assert.equal(world.matched, matched + 1);
+  say(14n, [shown]);
+  say(15n, [shown]);
+  assert.equal(world.matched, matched + 2);
+  world.stop(p, 0, 'cancelled', ctx.clock.now());
+  assert.equal(say(16n)[0]?.op, 'stop');
+  assert.equal(say(17n)[0]?.op, 'stop');
+  // Nor may its absence be overlooked.
+  say(18n, []);
+  assert.equal(howOf(p), 'gone');
+});
+
 test('a newer report of this term without the task proves it gone', () => {
   const { ctx, p, report } = setUp();
   stop(p);
--- a/test/standin/clock.ts
+++ b/test/standin/clock.ts
@@ -76,6 +76,8 @@
 /** The clocks of one process: a steady one with drift, a time of day that is off, and an end. */
 export class ProcessClock implements Clock {
   private dead = false;
+  /** Timers that come due before then fire only then, and before anything that was sent meanwhile is read. */
+  stalledUntil = 0;
 
   constructor(
     private readonly world: World,
@@ -96,8 +98,13 @@
   }
 
   after(ms: number, run: () => void): Timer {
-    return this.world.after(ms / this.rate, () => {
-      if (!this.dead) run();
-    });
+    const due = (): void => {
+      if (this.dead) return;
+      const left = this.stalledUntil - this.world.now;
+      if (left > 0) timer = this.world.after(left, due);
+      else run();
+    };
+    let timer = this.world.after(ms / this.rate, due);
+    return { cancel: () => timer.cancel() };
   }
 }
--- a/test/standin/net.ts
+++ b/test/standin/net.ts
@@ -33,6 +33,17 @@
   lateOrders = 0;
   orderDelayS = 0;
 
+  /** Hosts that stall read what was sent to them only when they go on, and after their timers. */
+  private readonly stalls = new Map<string, number>();
+
+  stall(host: string, until: number): void {
+    this.stalls.set(host, until);
+  }
+
+  private stallOf(host: string): number {
+    return (this.stalls.get(host) ?? 0) - this.world.now;
+  }
+
   serve(address: string, server: Server | undefined): void {
     if (server) this.servers.set(address, server);
     else this.servers.delete(address);
@@ -60,7 +71,12 @@
       if (cut.mode === 'hold') cut.held.push(deliver);
       return cut.mode === 'reset' || cut.mode === 'refuse' ? 'reset' : 'sent';
     }
-    this.world.after(0.5 + this.random.next() * 3, deliver);
+    const read = (): void => {
+      const left = this.stallOf(to);
+      if (left > 0) this.world.after(left + 0.5, read);
+      else deliver();
+    };
+    this.world.after(0.5 + this.random.next() * 3, read);
     return 'sent';
   }
 
@@ -76,7 +92,13 @@
             timer.cancel();
             if (alive()) resolve(r);
           };
-          const timer = this.world.after(deadlineMs, () => finish(err({ kind: 'unknown', why: 'deadline' })));
+          // As the real client does: what lies there is read before anybody is called silent.
+          const missed = (): void => {
+            const left = this.stallOf(from);
+            if (left > 0) timer = this.world.after(left + 1, missed);
+            else finish(err({ kind: 'unknown', why: 'deadline' }));
+          };
+          let timer = this.world.after(deadlineMs, missed);
           if (this.lateOrders > 0 && method === 'POST' && path === Paths.orders) {
             this.lateOrders--;
             this.world.after(
--- a/test/standin/scenario.ts
+++ b/test/standin/scenario.ts
@@ -16,6 +16,7 @@
  *     set lease=10 cancel=25 report=1 capacity=3 nodes=3 seed=1
  *     at 2 submit req-000001 red array tasks=4 run=5 [one_zone] [spread] [spot] [faulty] ...
  *     at 5 crash holder 3           (or a node's name, `follower`, `all`)
+ *     at 5 stall holder 3           (its timers and all it is sent wait so long)
  *     at 5 cut holder store hold 20 (what: store cloud peers workers all; how: drop hold reset)
  *     on plan/ 1 crash-after        (the nth transaction that touches the prefix)
  *     expect req-000001 done by 30
@@ -177,6 +178,9 @@
     case 'crash':
       for (const n of nodesNamed(u, w[0]!)) u.crash(n, Number(w[1] ?? 3) * 1000);
       return;
+    case 'stall':
+      for (const n of nodesNamed(u, w[0]!)) u.stall(n, Number(w[1]) * 1000);
+      return;
     case 'roll':
       u.nodes.forEach((n, i) => u.world.after(i * Number(w[0]) * 1000, () => u.crash(n.member, 2000)));
       return;
@@ -280,6 +284,8 @@
     const n = u.counted[subject];
     return n <= Number(third) ? undefined : `${n} ${subject} between mark and count`;
   }
+  if (subject === 'put-off')
+    return u.putOff <= Number(third) ? undefined : `${u.putOff} submissions were put off`;
   if (subject === 'returns') {
     const n = u.cloud.returned;
     return n <= Number(third) ? undefined : `${n} machines were returned`;
--- a/test/standin/universe.ts
+++ b/test/standin/universe.ts
@@ -69,6 +69,8 @@
   marked = { requests: 0, writes: 0 };
   counted = { requests: 0, writes: 0 };
   readonly statuses = new Map<string, number>();
+  /** Submissions that were answered, but neither taken nor found wrong. */
+  putOff = 0;
   /** How often each event was logged, by any node. */
   readonly events = new Map<string, number>();
   log: (member: string) => Log = () => ({
@@ -157,6 +159,14 @@
     controller.start();
   }
 
+  /** The process gets no processor for so long. */
+  stall(member: string, ms: number): void {
+    const node = this.nodes.find((n) => n.member === member);
+    if (!node) return;
+    node.clock.stalledUntil = this.world.now + ms;
+    this.net.stall(member, this.world.now + ms);
+  }
+
   crash(member: string, restartMs: number): void {
     const node = this.nodes.find((n) => n.member === member);
     if (!node?.controller) return;
@@ -214,6 +224,7 @@
     for (;;) {
       const status = await this.ask('submit', spec.id, 'POST', Paths.jobs, body, 5000);
       if (status !== undefined) this.statuses.set(spec.id, status);
+      if (status !== undefined && status >= 429) this.putOff++;
       if (status === 200 || status === 201) return this.poll(spec.id);
       if (status === 400 || status === 422 || this.world.now > until) return;
       await this.world.sleep(1000);
