--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet-planner.ts
@@ -4,7 +4,7 @@
 import type { Estimates } from '../bookkeeping/estimates.js';
 import type { Job, Machine, World } from '../bookkeeping/world.js';
 import type { JobSpec } from '../protocol/jobs.js';
-import { fitsType, roomFor, zoneAllowed, type Unplaced } from './planner.js';
+import { fitsType, roomFor, zoneAllowed, type Unplaced, type WaitReason } from './planner.js';
 import { Releases } from './releases.js';
 
 export interface FleetSnapshot {
@@ -54,6 +54,12 @@
 const UNHEARD_MS = 10_000;
 /** Machines in one request at most. */
 const RENT_MOST = 50;
+/**
+ * Work that waits for one of these is about to need room. With all leases run out after an outage, rounds place a few
+ * hundred tasks a second at most: the machines that stand empty until their turn are not idle (seen: five hundred
+ * returned and rented again while twelve thousand tasks waited for their round).
+ */
+const COMES_SOON: ReadonlySet<WaitReason> = new Set(['no room', 'round full', 'old attempt not gone']);
 /** How long an idle machine is kept, in nominal boot times. */
 const IDLE_BOOTS = 0.3;
 
@@ -283,7 +289,7 @@
     if (!faulty && !noticed && s.standing.has(m.id)) continue;
     if (!faulty && !noticed && s.now - m.idleSince < patience) continue;
     const wanted = s.unplaced.some(
-      (u) => u.reason === 'no room' && type && fitsType(u.job.spec, type) && (u.job.spec.spot || !m.spot),
+      (u) => COMES_SOON.has(u.reason) && type && fitsType(u.job.spec, type) && (u.job.spec.spot || !m.spot),
     );
     if (!wanted || faulty || noticed) back.push(m.id);
   }
--- a/test/indexes.test.ts
+++ b/test/indexes.test.ts
@@ -3,7 +3,8 @@
 import fc from 'fast-check';
 import { World as Book, waitingCount, type Machine, type Placement } from '../src/bookkeeping/world.js';
 import { Estimates } from '../src/bookkeeping/estimates.js';
-import { planRound } from '../src/coordination/planner.js';
+import { planFleet } from '../src/coordination/fleet-planner.js';
+import { planRound, type Snapshot } from '../src/coordination/planner.js';
 import { roomFor, Rooms } from '../src/coordination/rooms.js';
 import { nextSettlement } from '../src/coordination/settle.js';
 import type {
@@ -150,19 +151,7 @@
 test('at 1,500 machines a round looks at few rooms per task, and a full fleet at next to none', () => {
   const specs = Array.from({ length: 400 }, (_, n) => specOf(n, { tasks: 40 }));
   const { world, all } = bookOf(specs, 1500);
-  const snapshot = {
-    now: NOW,
-    world,
-    types: TYPES,
-    teams: new Map([team('red', 1000, 9000), team('blue', 1000, 9000)].map((t) => [t.name, t])),
-    staleMs: 5000,
-    silentMs: (then: SteadyMs) => NOW - then,
-    maxTasks: 400,
-    maxJobs: 10,
-    preemptAfterMs: 0,
-    estimates: new Estimates(),
-    aims: { byClass: new Map(), guaranteeS: undefined, finishByClass: new Map() },
-  };
+  const snapshot = roundOf(world);
   let looked = 0;
   const before = Object.getOwnPropertyDescriptor(Rooms.prototype, 'mostFree')!;
   const original = before.value as Rooms['mostFree'];
@@ -186,6 +175,64 @@
   }
 });
 
+const roundOf = (world: Book): Snapshot => ({
+  now: NOW,
+  world,
+  types: TYPES,
+  teams: new Map([team('red', 1000, 9000), team('blue', 1000, 9000)].map((t) => [t.name, t])),
+  staleMs: 5000,
+  silentMs: (then: SteadyMs) => NOW - then,
+  maxTasks: 400,
+  maxJobs: 10,
+  preemptAfterMs: 0,
+  estimates: new Estimates(),
+  aims: { byClass: new Map(), guaranteeS: undefined, finishByClass: new Map() },
+});
+
+/** Many services that miss a replica each, and two arrays behind them. */
+const afterAnOutage = (machines: number): Book =>
+  bookOf(
+    Array.from({ length: 102 }, (_, n) =>
+      n < 100 ? specOf(n, { kind: 'service', priority: 'production', tasks: 1 }) : specOf(n, { tasks: 100 }),
+    ),
+    machines,
+  ).world;
+
+test('a round full of jobs that miss a task each takes two arrays along, where there is room for all', () => {
+  const jobsOf = (world: Book): string[] => [
+    ...new Set(planRound(roundOf(world)).tasks.map((t) => `${t.job.spec.kind} ${t.job.id}`)),
+  ];
+  const roomy = jobsOf(afterAnOutage(100));
+  assert.equal(roomy.filter((j) => j.startsWith('service')).length, 8);
+  assert.equal(roomy.filter((j) => j.startsWith('array')).length, 2);
+  const tight = jobsOf(afterAnOutage(20));
+  assert.equal(tight.filter((j) => j.startsWith('array')).length, 0);
+  assert.equal(tight.length, 10);
+});
+
+test('machines that stand empty until the round of the work that waits for them are not returned', () => {
+  const world = afterAnOutage(100);
+  const planned = planRound(roundOf(world));
+  const backAfter = (unplaced: typeof planned.unplaced): number =>
+    planFleet({
+      now: (NOW + 600_000) as SteadyMs,
+      silentMs: (then) => NOW - then,
+      world,
+      types: TYPES,
+      unplaced,
+      plannedAt: NOW,
+      refusedUntil: new Map(),
+      pending: [],
+      standing: new Set(),
+      estimates: new Estimates(),
+      finishWithin: new Map(),
+      idleReturnMs: 0,
+    }).giveBack.length;
+  assert.ok(planned.unplaced.some((u) => u.reason === 'round full'));
+  assert.equal(backAfter(planned.unplaced), 0);
+  assert.equal(backAfter([]), 100);
+});
+
 test('ends of five thousand tasks of many jobs are one change; a finished job is two', () => {
   const specs = Array.from({ length: 100 }, (_, n) => specOf(n, { tasks: 60 }));
   const { world, all } = bookOf(specs, 700);
