--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -172,7 +172,8 @@
     }
     const waiting: Record<string, number> = {};
     for (const u of this.planned().unplaced) waiting[u.reason] = (waiting[u.reason] ?? 0) + u.count;
-    this.d.log.info('fleet-state', { ...count, gpus, running, starting, waiting });
+    const stalledMs = Math.round(this.d.attention.lostMs);
+    this.d.log.info('fleet-state', { ...count, gpus, running, starting, waiting, stalledMs });
   }
 
   // ---- rent -----------------------------------------------------------------------------------------
