Rounds are further apart the more records of old rounds wait to be collected

Collection has the lowest rank, and rounds kept the bucket below what it may touch. Now the backlog itself sets the pace: bigger rounds, not more.

--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -69,6 +69,15 @@
 /** Image notes are worth a handful of changes this often. */
 const IMAGES_MS = 20_000;
 
+/**
+ * How far apart rounds are. They may take a fifth of the time: the bigger the fleet, the bigger the rounds rather than the
+ * more. And each leaves a plan and a receipt behind that cost two changes more to remove, at the lowest rank: with a
+ * thousand of them waiting (seen, on a small write rate) every take-over has to read them. So rounds are further apart
+ * the more records wait, by a tenth of the time that collecting them would take.
+ */
+export const roundGapMs = (planMs: number, leastMs: number, kept: number, writeRps: number): number =>
+  Math.min(2000, Math.max(leastMs, 4 * planMs, (kept / writeRps) * 100));
+
 /** All that one term's holder does. It lives for one term only: a new term starts from the store again. */
 export class Holder {
   world: World | undefined;
@@ -417,8 +426,9 @@
         await new Promise<void>((resolve) => (this.wakeUp = resolve));
         timer.cancel();
       }
-      // Rounds may take a fifth of the time: the bigger the fleet, the bigger the rounds rather than the more.
-      const wait = Math.min(2000, Math.max(d.operator.roundMs, 4 * this.planMs)) - (d.clock.now() - last);
+      const kept = this.world?.garbage.size ?? 0;
+      const wait =
+        roundGapMs(this.planMs, d.operator.roundMs, kept, d.settings.store.writeRps) - (d.clock.now() - last);
       if (wait > 0) await sleep(d.clock, wait);
       if (!this.live()) return;
       this.dirty = false;
--- a/test/indexes.test.ts
+++ b/test/indexes.test.ts
@@ -4,6 +4,7 @@
 import { World as Book, waitingCount, type Machine, type Placement } from '../src/bookkeeping/world.js';
 import { Estimates } from '../src/bookkeeping/estimates.js';
 import { planFleet } from '../src/coordination/fleet-planner.js';
+import { roundGapMs } from '../src/coordination/holder.js';
 import { planRound, type Snapshot } from '../src/coordination/planner.js';
 import { roomFor, Rooms } from '../src/coordination/rooms.js';
 import { nextSettlement } from '../src/coordination/settle.js';
@@ -235,6 +236,14 @@
   assert.ok(urgent.stops > 0);
 });
 
+test('rounds get further apart with their cost and with the records of old ones that wait', () => {
+  assert.equal(roundGapMs(5, 100, 0, 35), 100);
+  assert.equal(roundGapMs(60, 100, 0, 35), 240);
+  assert.equal(roundGapMs(5, 100, 350, 35), 1000);
+  assert.equal(roundGapMs(5, 100, 350, 70), 500);
+  assert.equal(roundGapMs(5, 100, 5000, 35), 2000);
+});
+
 test('machines that stand empty until the round of the work that waits for them are not returned', () => {
   const world = afterAnOutage(100);
   const planned = planRound(roundOf(world));
