--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -71,9 +71,10 @@
 
 /**
  * How far apart rounds are. They may take a fifth of the time: the bigger the fleet, the bigger the rounds rather than the
- * more. And each leaves a plan and a receipt behind that cost two changes more to remove, at the lowest rank: with a
- * thousand of them waiting (seen, on a small write rate) every take-over has to read them. So rounds are further apart
- * the more records wait, by a tenth of the time that collecting them would take.
+ * more. And each leaves a plan and a receipt behind that a take-over has to read as long as they are there, and that cost
+ * two changes more to remove, at the lowest rank (seen: six hundred plans for what fifty rounds could have placed, and
+ * a thousand records that waited). So rounds are further apart the more records there are, kept or waiting to go, by a
+ * tenth of the time that removing them would take.
  */
 export const roundGapMs = (planMs: number, leastMs: number, kept: number, writeRps: number): number =>
   Math.min(2000, Math.max(leastMs, 4 * planMs, (kept / writeRps) * 100));
@@ -426,7 +427,7 @@
         await new Promise<void>((resolve) => (this.wakeUp = resolve));
         timer.cancel();
       }
-      const kept = this.world?.garbage.size ?? 0;
+      const kept = (this.world?.garbage.size ?? 0) + 2 * (this.world?.plans.size ?? 0);
       const wait =
         roundGapMs(this.planMs, d.operator.roundMs, kept, d.settings.store.writeRps) - (d.clock.now() - last);
       if (wait > 0) await sleep(d.clock, wait);
