--- a/test/profile/main.ts
+++ b/test/profile/main.ts
@@ -1,5 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdirSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath, pathToFileURL } from 'node:url';
 import { Command } from 'commander';
@@ -34,7 +35,7 @@
   .option('--crash <s>', 'when the holder is killed; 0: never', '0')
   .option('--writes <n>', 'changes a second of the state service', '50')
   .option('--node <flags>', 'flags of the processes', '--max-semi-space-size=4')
-  .option('--out <dir>', 'where profiles go', '/tmp/gorseyoke-profile')
+  .option('--out <dir>', 'where profiles go', join(tmpdir(), 'gorseyoke-profile'))
   .option('--program <file>', 'another build of it, such as target/start.cjs')
   .option('--heap', 'a heap profile instead')
   .parse()
