--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -241,7 +241,7 @@
 const MOST_SEARCHES = 24;
 
 /** Of a round's jobs, how many may be arrays out of turn, and how much such a job must bring. */
-const BULK_SHARE = 0;
+const BULK_SHARE = 0.2;
 const BULK_TASKS = 16;
 
 /** What a failed search says of others like it: no room for so much, of such kinds, in such zones. */
