Rounds claim rows of running jobs in the receipt: 45 jobs for two changes

Cause: a round wrote every row it touched, ten jobs for twelve changes, so hundreds of services that miss a replica each waited for seconds of write budget on rows that change by a generation alone. Change: the receipt carries generations of jobs that run already; rows are written at their first start only; every row's mark is still a condition. Attempts are the plan's own number. A round reserves only what it may write.

--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -78,6 +78,12 @@
 
 export const planId = (term: Term, round: number): PlanId => `${pad(term, 20)}-${pad(round, 9)}` as PlanId;
 
+/**
+ * The attempt of every task of a plan: as unique as the plan's identity, and rising with it. So a row need not be written
+ * for the sake of its next attempt's number, and no start of one plan can be taken for that of another.
+ */
+export const attemptOf = (term: Term, round: number): Attempt => ((term << 32n) + BigInt(round)) as Attempt;
+
 // ---- term -------------------------------------------------------------------------------------------
 
 export interface HolderRecord {
@@ -150,6 +156,10 @@
   readonly cancelledAt: WallMs | null;
 }
 
+/** What rounds have claimed since the row was written counts on: a generation never falls. */
+export const withGeneration = (row: Row, least: number): Row =>
+  row.generation >= least ? row : { ...row, generation: least };
+
 const nullableText = z.string().nullable();
 const specSchema = z.object({
   id: z.string(),
@@ -248,14 +258,29 @@
   valueKb * 1024 - 64 - jsonSize({ v: VERSION, sum: '0'.repeat(SUM_LENGTH), body: empty });
 export const planJobSize = (job: PlanJob): number => jsonSize(job) + 1;
 
-/** Proof that the plan's transaction passed the fence. */
+/** A generation that a round gave to a job without writing its row: the row takes it over at its next write. */
+export interface Claim {
+  readonly job: JobId;
+  readonly generation: number;
+}
+
+/**
+ * Proof that the plan's transaction passed the fence. It stands for the rows of jobs that run already: the transaction
+ * conditions on the mark of each as if it wrote it.
+ */
 export interface Receipt {
   readonly plan: PlanId;
   readonly sum: string;
   readonly term: Term;
+  readonly claims: readonly Claim[];
 }
 export const receiptSchema = z
-  .object({ plan: z.string(), sum: z.string(), term: u64 })
+  .object({
+    plan: z.string(),
+    sum: z.string(),
+    term: u64,
+    claims: z.array(z.object({ job: z.string(), generation: z.number() })).default([]),
+  })
   .transform((w) => w as unknown as Receipt);
 
 export function rangesOf(indices: readonly number[]): string {
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -13,12 +13,15 @@
 import { encodeCommands, type Command, type Report } from '../protocol/workers.js';
 import type { Mirror, MirroredRow } from '../bookkeeping/mirror.js';
 import {
+  attemptOf,
   Keys,
   planId,
   planJobSize,
   planRoom,
   rangesOf,
   seal,
+  withGeneration,
+  type Claim,
   type ImageNote,
   type Plan,
   type PlanGroup,
@@ -33,6 +36,7 @@
 import { Fleet, type FleetDeps } from './fleet.js';
 import { loadWorld, steadyOf } from './load.js';
 import {
+  needsRow,
   planRound,
   startAims,
   withinGuarantee,
@@ -174,7 +178,7 @@
     }
     if (mark <= job.mark) return;
     job.mark = mark;
-    job.row = row.row;
+    job.row = withGeneration(row.row, job.row.generation);
     if (row.row.state === 'cancelled') this.cancelled(job);
   }
 
@@ -447,24 +451,26 @@
   private async oneRound(): Promise<void> {
     const { d, world } = this;
     if (!world) return;
+    const mostRows = d.settings.store.txnOps - 2;
     let waiting = false;
+    let rows = 0;
     for (const job of world.jobs.values()) {
       if (job.cancelledAt !== undefined || waitingCount(job) === 0) continue;
       waiting = true;
-      break;
+      if (needsRow(job) && ++rows >= mostRows) break;
     }
-    const most = waiting ? d.settings.store.txnOps : 0;
+    const most = waiting ? rows + 2 : 0;
     // Paid for first: a round planned before a long wait for the budget would be planned on old news.
     if (most > 0 && !(await d.store.reserve(most, Rank.Round))) {
       this.dirty = true;
       return;
     }
-    const used = this.live() ? await this.planAndCommit(world) : 0;
+    const used = this.live() ? await this.planAndCommit(world, most - 2) : 0;
     d.store.unreserve(most - used);
   }
 
   /** Returns how many changes it wrote. */
-  private async planAndCommit(world: World): Promise<number> {
+  private async planAndCommit(world: World, maxRows: number): Promise<number> {
     const { d } = this;
     const { workers, store } = d.settings;
     const from = d.clock.now();
@@ -483,7 +489,9 @@
       staleMs: workers.reportS * 2500,
       silentMs: (then) => d.attention.since(then),
       maxTasks: d.operator.roundTasks,
-      maxJobs: store.txnOps - 2,
+      // Four conditions a change; one of them for the term and one each for plan and receipt.
+      maxJobs: 4 * store.txnOps - 3,
+      maxRows,
       preemptAfterMs: 1500,
       estimates: this.estimates,
       aims: this.aims,
@@ -508,23 +516,29 @@
   /** Plan, receipt and rows in one transaction that conditions on the term and on every row's mark. */
   private async commit(world: World, tasks: readonly PlannedTask[]): Promise<number> {
     const { d } = this;
-    const id = planId(this.held.term, ++this.round);
-    const { plan, taken } = this.buildPlan(id, tasks);
+    const round = ++this.round;
+    const id = planId(this.held.term, round);
+    const attempt = attemptOf(this.held.term, round);
+    const { plan, taken } = this.buildPlan(id, attempt, tasks);
     const sealed = seal(plan);
     const jobs = [...new Set(taken.map((t) => t.job))];
     if (jobs.length === 0) return 0;
-    const written = jobs.length + 2;
     const rows = new Map<Job, Row>();
+    const claims: Claim[] = [];
     for (const job of jobs) {
+      const generation = job.row.generation + 1;
       rows.set(job, {
         ...job.row,
         state: 'running',
-        generation: job.row.generation + 1,
+        generation,
         term: this.held.term,
-        attempt: job.row.attempt + 1,
+        attempt: Number(attempt),
         done: job.done.count,
       });
+      if (!needsRow(job)) claims.push({ job: job.id, generation });
     }
+    const fresh = jobs.filter(needsRow);
+    const written = fresh.length + 2;
     const sessions = new Map(taken.map((t) => [t.machine, t.machine.session]));
     for (const m of sessions.keys()) m.rounds++;
     const sent = d.clock.now();
@@ -539,9 +553,9 @@
         {
           op: 'put',
           key: Keys.receipt(id),
-          value: seal({ plan: id, sum: sealed.sum, term: this.held.term }),
+          value: seal({ plan: id, sum: sealed.sum, term: this.held.term, claims }),
         },
-        ...jobs.map((j) => ({ op: 'put' as const, key: Keys.job(j.id), value: seal(rows.get(j)) })),
+        ...fresh.map((j) => ({ op: 'put' as const, key: Keys.job(j.id), value: seal(rows.get(j)) })),
       ],
       Rank.Round,
       true,
@@ -568,23 +582,20 @@
     world.plans.set(id, { id, open: taken.length, notes: new Set() });
     for (const job of jobs) {
       job.everStarted = true;
+      const row = rows.get(job)!;
+      if (!fresh.includes(job)) {
+        job.row = withGeneration(job.row, row.generation);
+        continue;
+      }
       // A cancellation may have been written, and heard of, between this commit and its answer.
       if (mark < job.mark) continue;
-      job.row = rows.get(job)!;
+      job.row = row;
       job.mark = mark;
-      d.mirror.wrote(job.id, job.row, mark);
+      d.mirror.wrote(job.id, row, mark);
     }
     for (const t of taken) {
       const session = sessions.get(t.machine)!;
-      const p = world.place(
-        t.job,
-        t.index,
-        BigInt(rows.get(t.job)!.attempt) as Attempt,
-        t.machine,
-        session,
-        id,
-        now,
-      );
+      const p = world.place(t.job, t.index, attempt, t.machine, session, id, now);
       if (world.machines.get(t.machine.id) !== t.machine || t.machine.session !== session) {
         world.end(p, 'gone', now);
       } else if (t.job.cancelledAt !== undefined) {
@@ -621,6 +632,7 @@
   /** As many of the tasks as one stored value holds; a gang whole or not at all. */
   private buildPlan(
     id: Plan['id'],
+    attempt: Attempt,
     tasks: readonly PlannedTask[],
   ): { plan: Plan; taken: readonly PlannedTask[] } {
     const byJob = new Map<Job, PlannedTask[]>();
@@ -636,7 +648,7 @@
     for (const [job, list] of byJob) {
       let part: readonly PlannedTask[] = list;
       for (;;) {
-        const entry = planJob(job, part);
+        const entry = planJob(job, attempt, part);
         const size = planJobSize(entry);
         if (size <= room) {
           room -= size;
@@ -773,7 +785,7 @@
   return out;
 }
 
-function planJob(job: Job, tasks: readonly PlannedTask[]): PlanJob {
+function planJob(job: Job, attempt: Attempt, tasks: readonly PlannedTask[]): PlanJob {
   const byMachine = new Map<Machine, number[]>();
   for (const t of tasks) {
     const list = byMachine.get(t.machine);
@@ -782,7 +794,7 @@
   }
   return {
     job: job.id,
-    attempt: BigInt(job.row.attempt + 1) as Attempt,
+    attempt,
     on: [...byMachine].map(([m, indices]): PlanGroup => ({
       machine: m.id,
       session: m.session,
--- a/src/coordination/load.ts
+++ b/src/coordination/load.ts
@@ -13,6 +13,7 @@
   readPlan,
   receiptSchema,
   unseal,
+  withGeneration,
   type PlanGroup,
 } from '../bookkeeping/records.js';
 import type { Mirror, MirroredRow } from '../bookkeeping/mirror.js';
@@ -114,8 +115,13 @@
   const sums = new Map<PlanId, string>();
   for (const e of receipts.value.entries) {
     const receipt = unseal(receiptSchema, e.value);
-    if (receipt.ok) sums.set(receipt.value.plan, receipt.value.sum);
-    else log.error('receipt-unreadable', { key: e.key, why: receipt.error });
+    if (receipt.ok) {
+      sums.set(receipt.value.plan, receipt.value.sum);
+      for (const claim of receipt.value.claims) {
+        const job = world.jobs.get(claim.job);
+        if (job) job.row = withGeneration(job.row, claim.generation);
+      }
+    } else log.error('receipt-unreadable', { key: e.key, why: receipt.error });
   }
   for (const e of plans.value.entries) {
     const plan = readPlan(e.value);
--- a/test/indexes.test.ts
+++ b/test/indexes.test.ts
@@ -185,6 +185,7 @@
   silentMs: (then: SteadyMs) => NOW - then,
   maxTasks: 400,
   maxJobs: 10,
+  maxRows: 10,
   preemptAfterMs: 0,
   estimates: new Estimates(),
   aims: { byClass: new Map(), guaranteeS: undefined, finishByClass: new Map() },
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -261,6 +261,7 @@
     silentMs: (then: SteadyMs) => now - then,
     maxTasks: 100,
     maxJobs: 10,
+    maxRows: 10,
     preemptAfterMs: 0,
     estimates: new Estimates(),
     aims: { byClass: new Map(), guaranteeS: undefined, finishByClass: new Map() },
--- a/test/standin/scenario.ts
+++ b/test/standin/scenario.ts
@@ -4,7 +4,7 @@
 import type { TeamLimits } from '../../src/protocol/settings.js';
 import type { CutMode } from './net.js';
 import type { TxnFault } from './store.js';
-import { machineType, team, Universe } from './universe.js';
+import { machineType, team, Universe, type Tally } from './universe.js';
 
 /**
  * Scenario files, a line each:
@@ -19,6 +19,7 @@
  *     at 5 stall holder 3           (its timers and all it is sent wait so long)
  *     at 5 cut holder store hold 20 (what: store cloud peers workers all; how: drop hold reset)
  *     on plan/ 1 crash-after        (the nth transaction that touches the prefix)
+ *     at 9 hook plan/ 1 hold 20     (the same, counted from then on)
  *     expect req-000001 done by 30
  */
 interface Expectation {
@@ -115,6 +116,12 @@
 const fault = (words: readonly string[]): TxnFault =>
   words[0] === 'hold' ? { holdS: Number(words[1]) } : (words[0] as Exclude<TxnFault, object>);
 
+const tally = (u: Universe): Tally => ({
+  requests: u.store.requests,
+  writes: u.store.writes,
+  rounds: u.events.get('round-committed') ?? 0,
+});
+
 function nodesNamed(u: Universe, who: string): string[] {
   const holder = u.holder();
   if (who === 'all') return u.nodes.map((n) => n.member);
@@ -163,13 +170,14 @@
       return;
     }
     case 'mark':
-      u.marked = { requests: u.store.requests, writes: u.store.writes };
+      u.marked = tally(u);
       return;
     case 'count':
-      u.counted = {
-        requests: u.store.requests - u.marked.requests,
-        writes: u.store.writes - u.marked.writes,
-      };
+      u.counted = tally(u);
+      for (const k of Object.keys(u.counted) as (keyof Tally)[]) u.counted[k] -= u.marked[k];
+      return;
+    case 'hook':
+      u.store.hooks.push({ prefix: w[0]!, nth: Number(w[1]), fault: fault(w.slice(2)) });
       return;
     case 'cancel':
       return void u.cancel(w[0]!);
@@ -280,7 +288,7 @@
   if (subject === 'alive') {
     return u.cloud.live().some((m) => m.id === verb) ? undefined : `${verb} is gone`;
   }
-  if (subject === 'requests' || subject === 'writes') {
+  if (subject === 'requests' || subject === 'writes' || subject === 'rounds') {
     const n = u.counted[subject];
     return n <= Number(third) ? undefined : `${n} ${subject} between mark and count`;
   }
--- a/test/standin/universe.ts
+++ b/test/standin/universe.ts
@@ -32,6 +32,13 @@
   readonly operator?: Partial<Operator>;
 }
 
+/** Requests and changes of the state service, and rounds committed. */
+export interface Tally {
+  requests: number;
+  writes: number;
+  rounds: number;
+}
+
 interface Node {
   readonly member: string;
   clock: ProcessClock;
@@ -65,9 +72,9 @@
   readonly nodes: Node[];
   readonly jobs = new Map<string, JobRun>();
   readonly toldAt = new Map<string, number>();
-  /** Requests and changes of the state service at `mark`, and from there to `count`. */
-  marked = { requests: 0, writes: 0 };
-  counted = { requests: 0, writes: 0 };
+  /** What was done until `mark`, and from there to `count`. */
+  marked: Tally = { requests: 0, writes: 0, rounds: 0 };
+  counted: Tally = { requests: 0, writes: 0, rounds: 0 };
   readonly statuses = new Map<string, number>();
   /** Submissions that were answered, but neither taken nor found wrong. */
   putOff = 0;
