Card-seconds: every second of every rented card is accounted for by cause

Change: CardSeconds in bookkeeping counts run, replica, repeated, start, fetch, gang, stop, boot, draining and free time (with and without work that waits) as placements end and at each look at the fleet; /ops/metrics and fleet-state show them. Result: a test holds the sum against the time machines were there; costs one walk over the machines per half second, as the silence watch does already.

--- a/src/bookkeeping/world.ts
+++ b/src/bookkeeping/world.ts
@@ -19,6 +19,7 @@
 import type { JobSpec } from '../protocol/jobs.js';
 import type { Cause, TaskState } from '../protocol/wire.js';
 import type { ReportedTask } from '../protocol/workers.js';
+import { CardSeconds } from './card-seconds.js';
 import { DoneSet, type Row } from './records.js';
 
 /**
@@ -45,7 +46,12 @@
   /** True once a report showed the task under this session. */
   seen: boolean;
   state: TaskState | undefined;
+  /** When its worker first showed it, and first showed it with its image. */
+  shownSince: SteadyMs | undefined;
+  fetchedSince: SteadyMs | undefined;
   runningSince: SteadyMs | undefined;
+  /** It was stopped with its progress saved. */
+  saved: boolean;
   stop: { graceS: number; readonly why: string; readonly at: SteadyMs; ordered: boolean } | undefined;
   /** Proven off the machine; waits for the store to hold its end. */
   ended: { readonly how: 'done' | Cause | 'gone' | 'unsent'; readonly at: SteadyMs } | undefined;
@@ -143,6 +149,8 @@
   /** Keys that nothing needs any more, to be removed when there is time. */
   readonly garbage = new Set<StoreKey>();
 
+  readonly cardSeconds = new CardSeconds();
+
   /** Reported tasks that were looked up one by one; for the tests that keep this small. */
   matched = 0;
 
@@ -264,7 +272,10 @@
       orderTerm: undefined,
       seen: false,
       state: undefined,
+      shownSince: undefined,
+      fetchedSince: undefined,
       runningSince: undefined,
+      saved: false,
       stop: undefined,
       ended: undefined,
     };
@@ -338,6 +349,7 @@
     // A floating start could still run after this end; only the machine's or session's end rules that out.
     if (p.order !== undefined && how !== 'gone') return;
     p.ended = { how, at: now };
+    this.cardSeconds.ended(p, now);
     p.machine.calm = undefined;
     this.charge(p, -1);
     this.stopping.delete(p);
--- a/src/coordination/command.ts
+++ b/src/coordination/command.ts
@@ -162,6 +162,7 @@
     if (p.ended) return; // Its forget follows once the store holds the end.
     const how = task.cause ?? 'error';
     ctx.log.debug('task-exited', { task: `${p.job.id}/${p.index}`, machine: machine.id, how });
+    p.saved = task.saved;
     if (how === 'done') {
       p.job.errors = 0;
       machine.errors = 0;
@@ -176,7 +177,9 @@
   p.seen = true;
   if (p.state !== task.state) {
     p.state = task.state;
+    p.shownSince ??= now;
     if (task.state !== 'fetching') {
+      p.fetchedSince ??= now;
       ctx.world.noteImage(machine, p.job.spec.image, p.job.spec.imageGb, ctx.cacheGb(machine));
     }
     if (task.state === 'running') {
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -69,6 +69,7 @@
     const { settings, operator, clock, random, log } = d;
     const { store, workers } = settings;
     this.attention = new Attention(clock);
+    d.metrics.gauge('cardSeconds', () => this.holder?.world?.cardSeconds.snapshot() ?? {});
     d.metrics.gauge('lostToStallsMs', () => Math.round(this.attention.lostMs));
     const roundReserve = 1 - operator.roundWriteShare;
     this.requests = new Budget(clock, store.rps, {
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -91,6 +91,7 @@
     this.watchCancelled(now);
     this.watchNotices(now);
     this.watchSilence(now);
+    world.cardSeconds.look(world, d.types.all(), this.workWaits(), now);
     this.logState(now);
     // Before the first whole list the fleet is not known: renting then would rent it twice.
     if (this.listed === 0 || this.standing === undefined) return;
@@ -150,6 +151,10 @@
     if (moves.length > 0) this.wake();
   }
 
+  private workWaits(): boolean {
+    return this.planned().unplaced.some((u) => u.reason === 'no room' || u.reason === 'round full');
+  }
+
   private loggedAt = -Infinity;
 
   private logState(now: SteadyMs): void {
@@ -173,7 +178,8 @@
     const waiting: Record<string, number> = {};
     for (const u of this.planned().unplaced) waiting[u.reason] = (waiting[u.reason] ?? 0) + u.count;
     const stalledMs = Math.round(this.d.attention.lostMs);
-    this.d.log.info('fleet-state', { ...count, gpus, running, starting, waiting, stalledMs });
+    const cardSeconds = this.world.cardSeconds.snapshot();
+    this.d.log.info('fleet-state', { ...count, gpus, running, starting, waiting, cardSeconds, stalledMs });
   }
 
   // ---- rent -----------------------------------------------------------------------------------------
--- /dev/null
+++ b/test/card-seconds.test.ts
@@ -0,0 +1,24 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { runScenario } from './standin/scenario.js';
+
+test('card-seconds add up to the time that machines were there, and name what was lost', async () => {
+  const text = `
+machine g4 a
+machine g4 b
+team red 8 16
+set capacity=0 seed=1
+at 2 submit req-000001 red array tasks=4 run=20 gb=4
+at 2 submit req-000002 red service tasks=1 gb=4
+at 12 take req-000001
+until 60`;
+  const { universe } = await runScenario(text);
+  const holder = universe.nodes.find((n) => n.controller?.term.canDecide())!.controller!.holder!;
+  const spent = holder.world!.cardSeconds.snapshot() as Record<string, number>;
+  assert.ok(spent['run']! >= 75 && spent['run']! <= 85, `four tasks of 20 s: ${JSON.stringify(spent)}`);
+  assert.ok(spent['fetch']! >= 8, 'images of 4 GB were fetched for several cards');
+  assert.ok(spent['repeated']! > 0, 'the machine that was taken lost what ran there');
+  // What runs on at the end is in none of the causes yet: the service, for the rest of the time.
+  const sum = Object.values(spent).reduce((a, b) => a + b, 0);
+  assert.ok(sum <= 8 * 60 && sum >= 4 * 40, `sum ${sum}`);
+});
