--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -245,10 +245,6 @@
 /** Jobs of each sort for which a round looks into stopping others: the first in order; the rest has its turn in later rounds. */
 const MOST_SEARCHES = 24;
 
-/** Of a round's jobs, how many may be arrays out of turn, and how much such a job must bring. */
-const BULK_SHARE = 0.2;
-const BULK_TASKS = 16;
-
 /** What a failed search says of others like it: no room for so much, of such kinds, in such zones. */
 interface Shape {
   readonly kinds: string;
@@ -328,16 +324,7 @@
       if (job.cancelledAt === undefined && waitingCount(job) > 0) waiting.push(job);
     }
     waiting.sort(this.order);
-    const bulk = this.bulkOf(waiting);
-    this.places = this.s.maxJobs - bulk.length;
-    for (const job of waiting) {
-      // The places kept back are filled as soon as all others are.
-      if (this.places < this.s.maxJobs && this.jobsInRound.size >= this.places) {
-        this.places = this.s.maxJobs;
-        for (const big of bulk) if (!this.handled.has(big)) this.planJob(big);
-      }
-      if (!this.handled.has(job)) this.planJob(job);
-    }
+    for (const job of waiting) this.planJob(job);
     return {
       tasks: this.tasks,
       stops: this.stops,
@@ -346,37 +333,7 @@
     };
   }
 
-  /** How many jobs the round takes for now. */
-  private places = 0;
-  private readonly handled = new Set<Job>();
-
-  /**
-   * A round is paid for by the job. When hundreds of jobs miss a task or two each (replicas whose leases ran out), and
-   * there is room for them all and as much again, a place or two go to arrays out of turn: one change places a hundred
-   * tasks whose machines would stand empty until the last replica had its round.
-   */
-  private bulkOf(waiting: readonly Job[]): Job[] {
-    if (waiting.length <= this.s.maxJobs) return [];
-    const need = { cpus: 0, gpus: 0, memoryGb: 0 };
-    for (const job of waiting) {
-      if (job.spec.kind === 'array') continue;
-      const n = waitingCount(job);
-      need.cpus += 2 * n * job.spec.cpus;
-      need.gpus += 2 * n * job.spec.gpus;
-      need.memoryGb += 2 * n * job.spec.memoryGb;
-    }
-    if (!roomFor(this.rooms.free(), need)) return [];
-    const out: Job[] = [];
-    for (const job of waiting) {
-      if (out.length >= Math.floor(this.s.maxJobs * BULK_SHARE)) break;
-      if (job.spec.kind !== 'array' || job.notBefore > this.s.now) continue;
-      if (Math.min(waitingCount(job), this.allowance(job.spec)) >= BULK_TASKS) out.push(job);
-    }
-    return out;
-  }
-
   private planJob(job: Job): void {
-    this.handled.add(job);
     const { spec } = job;
     const count = waitingCount(job);
     const put = (reason: WaitReason, n: number): void => {
@@ -463,7 +420,7 @@
   private roundHasRoom(job: Job, n: number): boolean {
     const first = this.tasks.length === 0;
     if (!this.jobsInRound.has(job.id)) {
-      if (this.jobsInRound.size >= this.places) return false;
+      if (this.jobsInRound.size >= this.s.maxJobs) return false;
       if (needsRow(job) && this.rowsInRound >= this.s.maxRows) return false;
     }
     return first || this.tasks.length + n <= this.s.maxTasks;
--- a/src/coordination/rooms.ts
+++ b/src/coordination/rooms.ts
@@ -84,17 +84,6 @@
     return this.byMachine.get(machine);
   }
 
-  /** All that is free, added up. */
-  free(): Need {
-    const sum = { cpus: 0, gpus: 0, memoryGb: 0 };
-    for (const room of this.all) {
-      sum.cpus += Math.max(0, room.cpus);
-      sum.gpus += Math.max(0, room.gpus);
-      sum.memoryGb += Math.max(0, room.memoryGb);
-    }
-    return sum;
-  }
-
   zones(): ZoneName[] {
     return [...this.freeGpus.keys()].sort();
   }
