--- a/src/bookkeeping/store.ts
+++ b/src/bookkeeping/store.ts
@@ -149,8 +149,8 @@
     return this.writes.take(changes, rank, 2 * CALL_MS);
   }
 
-  unreserve(changes: number): void {
-    if (changes > 0) this.writes.giveBack(changes);
+  unreserve(changes: number, rank: Rank): void {
+    if (changes > 0) this.writes.giveBack(changes, rank);
   }
 
   async txn(
--- a/src/bookkeeping/world.ts
+++ b/src/bookkeeping/world.ts
@@ -166,6 +166,8 @@
   private readonly likely = new Map<ImageName, Set<Machine>>();
   /** Placements whose worker was not told to stop them yet. */
   readonly stopping = new Set<Placement>();
+  /** Jobs that have started, and since when, whose rows don't say so yet; the first to start comes first. */
+  readonly unstamped = new Map<Job, SteadyMs>();
   /** Machines with tasks that no live plan put there. */
   readonly estranged = new Set<Machine>();
   readonly noticed = new Set<Machine>();
@@ -280,6 +282,8 @@
       ended: undefined,
     };
     job.placements.set(index, placement);
+    if (job.row.state === 'queued' && !this.unstamped.has(job)) this.unstamped.set(job, now);
+    job.everStarted = true;
     machine.placements.add(placement);
     machine.calm = undefined;
     this.charge(placement, 1);
@@ -401,6 +405,7 @@
   /** The job is over: shared finish records that mention no other live job are garbage. */
   dropJob(job: Job): void {
     this.jobs.delete(job.id);
+    this.unstamped.delete(job);
     for (const key of job.finishNotes) this.unmention(job, key);
   }
 
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -37,6 +37,8 @@
 }
 
 const SYNC_MS = 1000;
+/** Share of the write rate that rounds have for themselves. */
+const ROUND_PLEDGE = 0.12;
 
 /** The operators' own paths; users' paths are the protocol's. */
 export const OPS = { explain: '/ops/explain/:id', metrics: '/ops/metrics' } as const;
@@ -79,13 +81,20 @@
       [Rank.Round]: 0.2,
       [Rank.Garbage]: 0.4,
     });
-    this.writes = new Budget(clock, store.writeRps, {
-      [Rank.Lease]: 0,
-      [Rank.User]: 0,
-      [Rank.Finish]: 0,
-      [Rank.Round]: roundReserve / 2,
-      [Rank.Garbage]: roundReserve,
-    });
+    this.writes = new Budget(
+      clock,
+      store.writeRps,
+      {
+        [Rank.Lease]: 0,
+        [Rank.User]: 0,
+        [Rank.Finish]: 0,
+        [Rank.Round]: roundReserve / 2,
+        [Rank.Garbage]: roundReserve,
+      },
+      // A round is two changes for dozens of jobs. Accepts alone could use all there is (seen: every machine empty for
+      // the first fifteen seconds of a day, while jobs were taken at just the write rate).
+      { rank: Rank.Round, share: ROUND_PLEDGE, most: 4 },
+    );
     this.teams = new Map(settings.teams.map((t) => [t.name, t]));
     this.store = new Store(d.http, settings.state, clock, this.requests, this.writes, log);
     this.mirror = new Mirror(this.store, clock, random, log, store.rps);
--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet-planner.ts
@@ -84,6 +84,16 @@
 
   /** How many of the job's tasks find a place. */
   take(job: Job, zones: Map<ZoneName, number>, count: number): number {
+    let placed = this.pass(job, zones, count);
+    // Spread work may go back to a zone once others have theirs (seen: a machine rented beside empty ones for a service
+    // whose second replica in a zone was due after the first in the next).
+    for (let more = placed; job.spec.spread && more > 0 && placed < count; placed += more) {
+      more = this.pass(job, zones, count - placed);
+    }
+    return placed;
+  }
+
+  private pass(job: Job, zones: Map<ZoneName, number>, count: number): number {
     const { spec } = job;
     let placed = 0;
     for (const pool of this.pools.values()) {
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -36,7 +36,6 @@
 import { Fleet, type FleetDeps } from './fleet.js';
 import { loadWorld, steadyOf } from './load.js';
 import {
-  needsRow,
   planRound,
   startAims,
   withinGuarantee,
@@ -70,6 +69,10 @@
 const GATHER_MS = 1000;
 /** The same where some of it is to be placed again. */
 const PROMPT_MS = 500;
+/** A round writes its plan and its receipt; the rows of its jobs are claimed in the latter. */
+const ROUND_CHANGES = 2;
+/** How long a job may run before its row says so: many are over by then, and their rows gone. */
+const STAMP_MS = 1500;
 /** Image notes are worth a handful of changes this often. */
 const IMAGES_MS = 20_000;
 
@@ -148,6 +151,7 @@
     void this.roundLoop();
     void this.settleLoop();
     void this.garbageLoop();
+    void this.stampLoop();
     void this.watchLoop();
     void this.fleet.run();
   }
@@ -451,26 +455,24 @@
   private async oneRound(): Promise<void> {
     const { d, world } = this;
     if (!world) return;
-    const mostRows = d.settings.store.txnOps - 2;
     let waiting = false;
-    let rows = 0;
     for (const job of world.jobs.values()) {
       if (job.cancelledAt !== undefined || waitingCount(job) === 0) continue;
       waiting = true;
-      if (needsRow(job) && ++rows >= mostRows) break;
+      break;
     }
-    const most = waiting ? rows + 2 : 0;
+    const most = waiting ? ROUND_CHANGES : 0;
     // Paid for first: a round planned before a long wait for the budget would be planned on old news.
     if (most > 0 && !(await d.store.reserve(most, Rank.Round))) {
       this.dirty = true;
       return;
     }
-    const used = this.live() ? await this.planAndCommit(world, most - 2) : 0;
-    d.store.unreserve(most - used);
+    const used = this.live() ? await this.planAndCommit(world) : 0;
+    d.store.unreserve(most - used, Rank.Round);
   }
 
   /** Returns how many changes it wrote. */
-  private async planAndCommit(world: World, maxRows: number): Promise<number> {
+  private async planAndCommit(world: World): Promise<number> {
     const { d } = this;
     const { workers, store } = d.settings;
     const from = d.clock.now();
@@ -491,7 +493,6 @@
       maxTasks: d.operator.roundTasks,
       // Four conditions a change; one of them for the term and one each for plan and receipt.
       maxJobs: 4 * store.txnOps - 3,
-      maxRows,
       preemptAfterMs: 1500,
       estimates: this.estimates,
       aims: this.aims,
@@ -523,22 +524,7 @@
     const sealed = seal(plan);
     const jobs = [...new Set(taken.map((t) => t.job))];
     if (jobs.length === 0) return 0;
-    const rows = new Map<Job, Row>();
-    const claims: Claim[] = [];
-    for (const job of jobs) {
-      const generation = job.row.generation + 1;
-      rows.set(job, {
-        ...job.row,
-        state: 'running',
-        generation,
-        term: this.held.term,
-        attempt: Number(attempt),
-        done: job.done.count,
-      });
-      if (!needsRow(job)) claims.push({ job: job.id, generation });
-    }
-    const fresh = jobs.filter(needsRow);
-    const written = fresh.length + 2;
+    const claims = jobs.map((job): Claim => ({ job: job.id, generation: job.row.generation + 1 }));
     const sessions = new Map(taken.map((t) => [t.machine, t.machine.session]));
     for (const m of sessions.keys()) m.rounds++;
     const sent = d.clock.now();
@@ -555,43 +541,32 @@
           key: Keys.receipt(id),
           value: seal({ plan: id, sum: sealed.sum, term: this.held.term, claims }),
         },
-        ...fresh.map((j) => ({ op: 'put' as const, key: Keys.job(j.id), value: seal(rows.get(j)) })),
       ],
       Rank.Round,
       true,
     );
     for (const m of sessions.keys()) m.rounds--;
-    if (!this.live()) return written;
+    if (!this.live()) return ROUND_CHANGES;
     if (!outcome.ok) {
       if (outcome.error.kind === 'unknown') {
         await this.d.term.rise('a round without an answer');
-        return written;
+        return ROUND_CHANGES;
       }
       d.log.info('round-not-committed', { plan: id, why: outcome.error.why });
       await sleep(d.clock, jitter(d.random, 200));
       this.dirty = true;
-      return written;
+      return ROUND_CHANGES;
     }
     if (outcome.value.kind === 'conflict') {
       await this.conflict(outcome.value.failed, id);
-      return written;
+      return ROUND_CHANGES;
     }
-    const mark = outcome.value.revision as unknown as Mark;
     const now = d.clock.now();
     d.metrics.timeMs('round-commit', now - sent);
     world.plans.set(id, { id, open: taken.length, notes: new Set() });
-    for (const job of jobs) {
-      job.everStarted = true;
-      const row = rows.get(job)!;
-      if (!fresh.includes(job)) {
-        job.row = withGeneration(job.row, row.generation);
-        continue;
-      }
-      // A cancellation may have been written, and heard of, between this commit and its answer.
-      if (mark < job.mark) continue;
-      job.row = row;
-      job.mark = mark;
-      d.mirror.wrote(job.id, row, mark);
+    for (const { job, generation } of claims) {
+      const known = world.jobs.get(job);
+      if (known) known.row = withGeneration(known.row, generation);
     }
     for (const t of taken) {
       const session = sessions.get(t.machine)!;
@@ -617,7 +592,7 @@
     }
     this.fleet?.committed([...sessions.keys()]);
     this.dirty = true;
-    return written;
+    return ROUND_CHANGES;
   }
 
   private async conflict(failed: readonly string[], what: string): Promise<void> {
@@ -731,6 +706,53 @@
     }
   }
 
+  /**
+   * Rows of jobs that have started say so once there is time for it: it is what users are shown, and nothing hangs on it.
+   * The state's own loop, and at the lowest rank, since at a burst every change is wanted for what comes next.
+   */
+  private async stampLoop(): Promise<void> {
+    const { d } = this;
+    while (this.live()) {
+      await sleep(d.clock, STAMP_MS / 2);
+      const { world } = this;
+      if (!world || !this.live() || !d.term.canDecide()) continue;
+      const now = d.clock.now();
+      const due: Job[] = [];
+      for (const [job, since] of world.unstamped) {
+        if (due.length >= d.settings.store.txnOps || now - since < STAMP_MS) break;
+        if (job.cancelledAt === undefined && world.jobs.get(job.id) === job) due.push(job);
+        else world.unstamped.delete(job);
+      }
+      if (due.length > 0) await this.stamp(world, due);
+    }
+  }
+
+  private async stamp(world: World, jobs: readonly Job[]): Promise<void> {
+    const { d } = this;
+    const rows = jobs.map((job): Row => ({
+      ...job.row,
+      state: 'running',
+      term: this.held.term,
+      done: job.done.count,
+    }));
+    const outcome = await this.write(
+      jobs.map((j) => ({ key: Keys.job(j.id), mark: j.mark })),
+      jobs.map((j, i) => ({ op: 'put', key: Keys.job(j.id), value: seal(rows[i]) })),
+      Rank.Garbage,
+    );
+    if (!this.live() || !outcome.ok) return;
+    if (outcome.value.kind === 'conflict') return this.conflict(outcome.value.failed, 'stamps');
+    const mark = outcome.value.revision as unknown as Mark;
+    jobs.forEach((job, i) => {
+      world.unstamped.delete(job);
+      // A cancellation may have been written, and heard of, between this commit and its answer.
+      if (mark < job.mark) return;
+      job.mark = mark;
+      job.row = withGeneration(rows[i]!, job.row.generation);
+      d.mirror.wrote(job.id, job.row, mark);
+    });
+  }
+
   private imagesAt = 0 as SteadyMs;
 
   /**
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -27,9 +27,7 @@
   /** Time since then in which this process could hear: its own lateness is no machine's silence. */
   readonly silentMs: (then: SteadyMs) => number;
   readonly maxTasks: number;
-  /** Jobs of a round, and among them those whose rows have to be written: each costs a change. */
   readonly maxJobs: number;
-  readonly maxRows: number;
   /** How long a job waits before running work is stopped for it. */
   readonly preemptAfterMs: number;
   readonly estimates: Estimates;
@@ -102,9 +100,6 @@
 
 export { roomFor };
 
-/** A round writes the row of a job that starts for the first time; of the others it claims a generation in its receipt. */
-export const needsRow = (job: Job): boolean => job.row.state === 'queued';
-
 export const fitsType = (s: JobSpec, t: MachineType): boolean =>
   (s.types === null || s.types.includes(t.name)) && roomFor(t, s);
 
@@ -259,7 +254,6 @@
   private readonly use: Map<TeamName, Use>;
   private readonly within: ReadonlySet<JobId>;
   private readonly jobsInRound = new Set<JobId>();
-  private rowsInRound = 0;
   private readonly order: (a: Job, b: Job) => number;
   private readonly strangers = new Set<string>();
   private readonly full: Shape[] = [];
@@ -419,15 +413,11 @@
 
   private roundHasRoom(job: Job, n: number): boolean {
     const first = this.tasks.length === 0;
-    if (!this.jobsInRound.has(job.id)) {
-      if (this.jobsInRound.size >= this.s.maxJobs) return false;
-      if (needsRow(job) && this.rowsInRound >= this.s.maxRows) return false;
-    }
+    if (!this.jobsInRound.has(job.id) && this.jobsInRound.size >= this.s.maxJobs) return false;
     return first || this.tasks.length + n <= this.s.maxTasks;
   }
 
   private accept(job: Job, indices: readonly TaskIndex[], rooms: readonly Room[]): void {
-    if (!this.jobsInRound.has(job.id) && needsRow(job)) this.rowsInRound++;
     this.jobsInRound.add(job.id);
     indices.forEach((index, k) => this.tasks.push({ job, index, machine: rooms[k]!.machine }));
     for (let k = 0; k < indices.length; k++) {
--- a/src/transport/budget.ts
+++ b/src/transport/budget.ts
@@ -21,8 +21,17 @@
   readonly resolve: (granted: boolean) => void;
 }
 
+/** A share of the rate that one rank has for itself, however much the others have taken. */
+export interface Pledge {
+  readonly rank: Rank;
+  readonly share: number;
+  /** What is kept of it at most: a single thing to do is not put off for what wasn't used before. */
+  readonly most: number;
+}
+
 export class Budget {
   private tokens: number;
+  private pledged = 0;
   private updated: SteadyMs;
   private waiters: Waiter[] = [];
   private timer: Timer | undefined;
@@ -32,6 +41,7 @@
     private rate: number,
     /** Share of a full bucket that each rank must leave untouched. */
     private readonly reserve: Readonly<Record<Rank, number>>,
+    private readonly pledge?: Pledge,
   ) {
     this.tokens = rate;
     this.updated = clock.now();
@@ -51,8 +61,9 @@
   }
 
   /** Gives back what was taken and not used. */
-  giveBack(cost: number): void {
+  giveBack(cost: number, rank: Rank): void {
     this.refill();
+    if (this.pledge?.rank === rank) this.pledged = Math.min(this.pledge.most, this.pledged + cost);
     this.tokens = Math.min(Math.max(this.rate, 1), this.tokens + cost);
     this.drain();
   }
@@ -67,10 +78,9 @@
   take(cost: number, rank: Rank, patienceMs: number): Promise<boolean> {
     if (cost <= 0) return Promise.resolve(true);
     this.refill();
-    if (!this.waiters.some((w) => w.rank <= rank) && this.fits(cost, rank)) {
-      this.tokens -= cost;
-      return Promise.resolve(true);
-    }
+    const first = !this.waiters.some((w) => w.rank <= rank);
+    const mine = this.pledge?.rank === rank && !this.waiters.some((w) => w.rank === rank);
+    if ((first && this.grant(cost, rank)) || (mine && this.pledgeCovers(cost))) return Promise.resolve(true);
     return new Promise((resolve) => {
       const expires = (this.clock.now() + patienceMs) as SteadyMs;
       this.waiters.push({ rank, cost, expires, resolve });
@@ -79,14 +89,30 @@
     });
   }
 
+  private grant(cost: number, rank: Rank): boolean {
+    // The others pay for what was pledged by waiting longer, so it is left for when there is nothing else.
+    if (!this.fits(cost, rank)) return this.pledge?.rank === rank && this.pledgeCovers(cost);
+    this.tokens -= cost;
+    return true;
+  }
+
   private fits(cost: number, rank: Rank): boolean {
     // A cost above the whole bucket must still go through at some time: it then needs a full bucket.
     return this.tokens >= Math.min(cost + this.reserve[rank] * this.rate, Math.max(this.rate, 1));
   }
 
+  private pledgeCovers(cost: number): boolean {
+    if (this.pledged < cost) return false;
+    this.pledged -= cost;
+    this.tokens -= cost;
+    return true;
+  }
+
   private refill(): void {
     const now = this.clock.now();
-    this.tokens = Math.min(Math.max(this.rate, 1), this.tokens + ((now - this.updated) / 1000) * this.rate);
+    const fresh = ((now - this.updated) / 1000) * this.rate;
+    this.tokens = Math.min(Math.max(this.rate, 1), this.tokens + fresh);
+    if (this.pledge) this.pledged = Math.min(this.pledge.most, this.pledged + fresh * this.pledge.share);
     this.updated = now;
   }
 
@@ -95,8 +121,10 @@
     const now = this.clock.now();
     const left: Waiter[] = [];
     for (const w of this.waiters) {
-      if (left.length === 0 && this.fits(w.cost, w.rank)) {
-        this.tokens -= w.cost;
+      // In their order, but for those that have something of their own to take from.
+      const turn =
+        left.length === 0 || (this.pledge?.rank === w.rank && !left.some((l) => l.rank === w.rank));
+      if (turn && (left.length === 0 ? this.grant(w.cost, w.rank) : this.pledgeCovers(w.cost))) {
         w.resolve(true);
       } else if (now >= w.expires) w.resolve(false);
       else left.push(w);
--- a/test/standin/scenario.ts
+++ b/test/standin/scenario.ts
@@ -268,6 +268,11 @@
         u.rules.broken.push(`expected ${n} of ${job} running at ${u.world.now / 1000} s, found ${running}`);
       return;
     }
+    case 'expect-starts': {
+      if (u.rules.starts < Number(w[0]))
+        u.rules.broken.push(`expected ${w[0]} starts by ${u.world.now / 1000} s, found ${u.rules.starts}`);
+      return;
+    }
     case 'expect-off': {
       const running = u.rules.running(w[0]!);
       if (running > 0)
