--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -27,9 +27,7 @@
   /** Time since then in which this process could hear: its own lateness is no machine's silence. */
   readonly silentMs: (then: SteadyMs) => number;
   readonly maxTasks: number;
-  /** Jobs of a round, and among them those whose rows have to be written: each costs a change. */
   readonly maxJobs: number;
-  readonly maxRows: number;
   /** How long a job waits before running work is stopped for it. */
   readonly preemptAfterMs: number;
   readonly estimates: Estimates;
@@ -102,9 +100,6 @@
 
 export { roomFor };
 
-/** A round writes the row of a job that starts for the first time; of the others it claims a generation in its receipt. */
-export const needsRow = (job: Job): boolean => job.row.state === 'queued';
-
 export const fitsType = (s: JobSpec, t: MachineType): boolean =>
   (s.types === null || s.types.includes(t.name)) && roomFor(t, s);
 
@@ -245,10 +240,6 @@
 /** Jobs of each sort for which a round looks into stopping others: the first in order; the rest has its turn in later rounds. */
 const MOST_SEARCHES = 24;
 
-/** Of a round's jobs, how many may be arrays out of turn, and how much such a job must bring. */
-const BULK_SHARE = 0.2;
-const BULK_TASKS = 16;
-
 /** What a failed search says of others like it: no room for so much, of such kinds, in such zones. */
 interface Shape {
   readonly kinds: string;
@@ -263,7 +254,6 @@
   private readonly use: Map<TeamName, Use>;
   private readonly within: ReadonlySet<JobId>;
   private readonly jobsInRound = new Set<JobId>();
-  private rowsInRound = 0;
   private readonly order: (a: Job, b: Job) => number;
   private readonly strangers = new Set<string>();
   private readonly full: Shape[] = [];
@@ -328,16 +318,7 @@
       if (job.cancelledAt === undefined && waitingCount(job) > 0) waiting.push(job);
     }
     waiting.sort(this.order);
-    const bulk = this.bulkOf(waiting);
-    this.places = this.s.maxJobs - bulk.length;
-    for (const job of waiting) {
-      // The places kept back are filled as soon as all others are.
-      if (this.places < this.s.maxJobs && this.jobsInRound.size >= this.places) {
-        this.places = this.s.maxJobs;
-        for (const big of bulk) if (!this.handled.has(big)) this.planJob(big);
-      }
-      if (!this.handled.has(job)) this.planJob(job);
-    }
+    for (const job of waiting) this.planJob(job);
     return {
       tasks: this.tasks,
       stops: this.stops,
@@ -346,37 +327,7 @@
     };
   }
 
-  /** How many jobs the round takes for now. */
-  private places = 0;
-  private readonly handled = new Set<Job>();
-
-  /**
-   * A round is paid for by the job. When hundreds of jobs miss a task or two each (replicas whose leases ran out), and
-   * there is room for them all and as much again, a place or two go to arrays out of turn: one change places a hundred
-   * tasks whose machines would stand empty until the last replica had its round.
-   */
-  private bulkOf(waiting: readonly Job[]): Job[] {
-    if (waiting.length <= this.s.maxJobs) return [];
-    const need = { cpus: 0, gpus: 0, memoryGb: 0 };
-    for (const job of waiting) {
-      if (job.spec.kind === 'array') continue;
-      const n = waitingCount(job);
-      need.cpus += 2 * n * job.spec.cpus;
-      need.gpus += 2 * n * job.spec.gpus;
-      need.memoryGb += 2 * n * job.spec.memoryGb;
-    }
-    if (!roomFor(this.rooms.free(), need)) return [];
-    const out: Job[] = [];
-    for (const job of waiting) {
-      if (out.length >= Math.floor(this.s.maxJobs * BULK_SHARE)) break;
-      if (job.spec.kind !== 'array' || job.notBefore > this.s.now) continue;
-      if (Math.min(waitingCount(job), this.allowance(job.spec)) >= BULK_TASKS) out.push(job);
-    }
-    return out;
-  }
-
   private planJob(job: Job): void {
-    this.handled.add(job);
     const { spec } = job;
     const count = waitingCount(job);
     const put = (reason: WaitReason, n: number): void => {
@@ -462,15 +413,11 @@
 
   private roundHasRoom(job: Job, n: number): boolean {
     const first = this.tasks.length === 0;
-    if (!this.jobsInRound.has(job.id)) {
-      if (this.jobsInRound.size >= this.places) return false;
-      if (needsRow(job) && this.rowsInRound >= this.s.maxRows) return false;
-    }
+    if (!this.jobsInRound.has(job.id) && this.jobsInRound.size >= this.s.maxJobs) return false;
     return first || this.tasks.length + n <= this.s.maxTasks;
   }
 
   private accept(job: Job, indices: readonly TaskIndex[], rooms: readonly Room[]): void {
-    if (!this.jobsInRound.has(job.id) && needsRow(job)) this.rowsInRound++;
     this.jobsInRound.add(job.id);
     indices.forEach((index, k) => this.tasks.push({ job, index, machine: rooms[k]!.machine }));
     for (let k = 0; k < indices.length; k++) {
