The budget's test overdraws as much as comes in

Cause: the test left rounds a second's worth beside their pledge and then counted twelve for ten. Change: it overdraws twice the rate each second.

--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -212,7 +212,7 @@
   const none = { [Rank.Lease]: 0, [Rank.User]: 0, [Rank.Finish]: 0, [Rank.Round]: 0.2, [Rank.Garbage]: 0.4 };
   const budget = new Budget(clock, 20, none, { rank: Rank.Round, share: 0.1, most: 4 });
   const accepts = (): void => {
-    budget.overdraw(30);
+    budget.overdraw(40);
     world.after(1000, accepts);
   };
   accepts();
