Tasks placed in a round are remembered by name; a plan names each task once, whatever planned it

Change: names instead of numbers; buildPlan leaves out and logs any task that is possibly somewhere or named already, a gang whole.

--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -619,11 +619,22 @@
     tasks: readonly PlannedTask[],
   ): { plan: Plan; taken: readonly PlannedTask[] } {
     const byJob = new Map<Job, PlannedTask[]>();
+    const named = new Set<string>();
     for (const t of tasks) {
+      // Whatever the planner says: a task that is possibly somewhere, or stands in this plan already, is in no plan.
+      const name = `${t.job.id}/${t.index}`;
+      if (named.has(name) || t.job.placements.has(t.index) || t.job.done.has(t.index)) {
+        this.d.log.error('planned-twice', { task: name, machine: t.machine.id });
+        continue;
+      }
+      named.add(name);
       const list = byJob.get(t.job);
       if (list) list.push(t);
       else byJob.set(t.job, [t]);
     }
+    for (const [job, list] of byJob) {
+      if (job.spec.kind === 'gang' && list.length < job.spec.tasks) byJob.delete(job);
+    }
     const jobs: PlanJob[] = [];
     const taken: PlannedTask[] = [];
     // Only sizes are needed until the end: sealing the whole plan again for each job added is quadratic.
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -364,13 +364,13 @@
   }
 
   /** Tasks of each job that this round has a place for already, and the zones of those and of all before them. */
-  private readonly placed = new Map<Job, number>();
+  private readonly placed = new Map<Job, Set<TaskIndex>>();
   private readonly zonesSoFar = new Map<Job, Map<ZoneName, number>>();
 
   private planJob(job: Job, warmOnly = false): void {
     const { spec } = job;
-    const before = this.placed.get(job) ?? 0;
-    const count = waitingCount(job) - before;
+    const before = this.placed.get(job);
+    const count = waitingCount(job) - (before?.size ?? 0);
     if (count <= 0) return;
     const put = (reason: WaitReason, n: number): void => {
       if (warmOnly) return;
@@ -391,9 +391,10 @@
       return put('no room', count);
     }
     const left = Math.max(1, this.s.maxTasks - this.tasks.length);
-    const waiting = waitingTasks(job, before + left)
-      .slice(before)
-      .filter((i) => !this.strangers.has(`${job.id}/${i}`));
+    // By name, not by number: a pass may leave out a task and place the next (seen: tasks in one plan twice).
+    const waiting = waitingTasks(job, left + (before?.size ?? 0)).filter(
+      (i) => !before?.has(i) && !this.strangers.has(`${job.id}/${i}`),
+    );
     const images = this.imageRooms(job);
     if (warmOnly && images.length === 0) return;
     let kept = 0;
@@ -467,7 +468,9 @@
 
   private accept(job: Job, indices: readonly TaskIndex[], rooms: readonly Room[]): void {
     this.jobsInRound.add(job.id);
-    this.placed.set(job, (this.placed.get(job) ?? 0) + indices.length);
+    const placed = this.placed.get(job);
+    if (placed) for (const i of indices) placed.add(i);
+    else this.placed.set(job, new Set(indices));
     indices.forEach((index, k) => this.tasks.push({ job, index, machine: rooms[k]!.machine }));
     for (let k = 0; k < indices.length; k++) {
       if (job.spec.kind !== 'gang') this.occupy(rooms[k]!, job.spec, 1);
--- a/test/indexes.test.ts
+++ b/test/indexes.test.ts
@@ -306,3 +306,24 @@
   assert.deepEqual(placed(60, 1), { 'img-cold': 6, 'img-warm': 2 });
   assert.deepEqual(placed(1, 2), { 'img-warm': 6, 'img-cold': 6 });
 });
+
+test('a task that one pass leaves for a warm room stays one task in the next', () => {
+  // The machine that holds the image is full of work that may be stopped; another fetches it just now and has room.
+  const aims = {
+    byClass: new Map([['c', 100]]),
+    guaranteeS: undefined,
+    finishByClass: new Map([['c', [100]]]),
+  };
+  const mine = { class: 'c', tasks: 12, image: 'img-x' as ImageName, imageGb: 30 };
+  const { world, all } = bookOf(
+    [specOf(0, mine), specOf(1, mine), specOf(2, { tasks: 8, priority: 'low' })],
+    3,
+  );
+  world.noteImage(all[0]!, 'img-x' as ImageName, 30, 100);
+  for (let k = 0; k < 8; k++) put(world, 2, k, all[0]!, 'p');
+  put(world, 0, 3, all[1]!, 'q');
+  const plan = planRound({ ...roundOf(world), aims });
+  const names = plan.tasks.map((t) => `${t.job.id}/${t.index}`);
+  assert.equal(new Set(names).size, names.length);
+  assert.ok(names.length > 0 && !names.includes('req-000000/3'));
+});
