--- a/src/coordination/peers.ts
+++ b/src/coordination/peers.ts
@@ -98,8 +98,13 @@
   }
 
   someReachStore(): boolean {
+    return this.reachingStore() > 0;
+  }
+
+  /** Peers that were heard of late and say that they reach the store. */
+  reachingStore(): number {
     const now = this.clock.now();
-    return this.peers.some((p) => p.storeOk && now - p.heardAt < 2500);
+    return this.peers.filter((p) => p.storeOk && now - p.heardAt < 2500).length;
   }
 
   private frame(kind: FrameKind, number: number, extra: Partial<Frame> = {}): Frame {
