Controllers tell each other when a zone was last heard: a cut before a take-over is judged from its beginning

Change: frames between controllers carry the ages of the holder's zones; a successor judges machines that ran work at its beginning by them until they are heard.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -175,6 +175,7 @@
           operator,
           metrics: d.metrics,
           reader: this.reader,
+          zonesHeardBefore: this.peers.zonesHeard,
           cloud: this.cloud,
           http: d.http,
           teams: this.teams,
@@ -188,6 +189,7 @@
       this.holder = undefined;
       this.shareRates();
     };
+    this.peers.zonesOfHolder = () => this.holder?.zonesHeard;
     this.peers.onTerm = (known) => this.term.hear(known);
     this.peers.onCancelled = (id) => this.holder?.heardCancelled(id);
     this.peers.onDown = (member) => void this.term.usurp(member);
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -34,6 +34,8 @@
   readonly operator: Operator;
   readonly teams: ReadonlyMap<TeamName, TeamLimits>;
   readonly held: HeldTerm;
+  /** What an earlier holder told of when it last heard any worker of each zone. */
+  readonly zonesHeardBefore: ReadonlyMap<ZoneName, SteadyMs>;
 }
 
 const TICK_MS = 500;
@@ -54,6 +56,7 @@
   private readonly pending = new Set<Hire>();
   private readonly returning = new Set<MachineId>();
   private readonly since: SteadyMs;
+  private readonly heardBefore: ReadonlyMap<ZoneName, SteadyMs>;
   private readonly finishWithin = new Map<string, number>();
 
   constructor(
@@ -66,6 +69,7 @@
     private readonly wake: () => void,
   ) {
     this.since = d.clock.now();
+    this.heardBefore = new Map(d.zonesHeardBefore);
     for (const o of d.settings.objectives) {
       if (o.kind !== 'finished' || o.class === undefined || o.withinS === undefined) continue;
       this.finishWithin.set(o.class, Math.min(o.withinS, this.finishWithin.get(o.class) ?? Infinity));
@@ -415,8 +419,7 @@
       d.operator.silentFenceS > 0 ? d.operator.silentFenceS * 1000 : Math.max(2500 * reportS, 12_000);
     const pastLease = 1.5 * fence + leaseS * 1000;
     // What this process was too late to read isn't a machine's silence.
-    const quiet = (m: Machine): number =>
-      d.attention.since(Math.max(m.lastReport ?? 0, m.upSince, this.since) as SteadyMs);
+    const quiet = (m: Machine): number => d.attention.since(this.heardLast(m));
     const zones = new Map<ZoneName, { up: number; silent: Machine[] }>();
     for (const m of world.machines.values()) {
       if (m.state !== 'up') continue;
@@ -464,6 +467,19 @@
     }
   }
 
+  /**
+   * Since when nothing can have come from a machine. One that ran work when this term began, and has said nothing since, was
+   * heard by the holder before at the latest when its zone was: a zone that was cut off before a take-over isn't counted as
+   * silent from the take-over on (seen: its replicas' leases ended ten seconds before its machines were given up).
+   */
+  private heardLast(m: Machine): SteadyMs {
+    if (m.lastReport !== undefined) return m.lastReport > this.since ? m.lastReport : this.since;
+    const before = this.heardBefore.get(m.zone);
+    const known = m.firstKnown <= this.since && m.placements.size > 0;
+    if (known && before !== undefined && before < this.since) return before;
+    return (m.upSince > this.since ? m.upSince : this.since) as SteadyMs;
+  }
+
   private async probe(m: Machine, quietMs: number, fence: number): Promise<void> {
     const { d } = this;
     const reply = m.address
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -234,6 +234,11 @@
   private heardAt: SteadyMs;
   private readonly zoneHeard = new Map<ZoneName, SteadyMs>();
 
+  /** When any worker of each zone was last heard, for whoever holds the term after this one. */
+  get zonesHeard(): ReadonlyMap<ZoneName, SteadyMs> {
+    return this.zoneHeard;
+  }
+
   /**
    * Zones with many machines from which nothing has come for many times their usual gap: likely cut off, known
    * long before any one machine is late. Nothing new goes there, and no direct start that might float.
--- a/src/coordination/peers.ts
+++ b/src/coordination/peers.ts
@@ -1,6 +1,6 @@
 import type { Clock, SteadyMs } from '../transport/clock.js';
 import { FrameKind, type Frame, type Mesh } from '../transport/mesh.js';
-import type { Address, JobId, MemberName, Term } from '../protocol/ids.js';
+import type { Address, JobId, MemberName, Term, ZoneName } from '../protocol/ids.js';
 
 export interface KnownTerm {
   readonly term: Term;
@@ -35,6 +35,10 @@
   private readonly cancelled: { readonly n: number; readonly id: JobId }[] = [];
   private counter = 0;
   private pings = 0;
+  /** When a holder last heard any worker of a zone: its own knowledge, told to the others. */
+  zonesOfHolder: () => ReadonlyMap<ZoneName, SteadyMs> | undefined = () => undefined;
+  /** The same as an earlier holder told it. Never earlier than it was: the way here adds to the age. */
+  readonly zonesHeard = new Map<ZoneName, SteadyMs>();
   onTerm: (known: KnownTerm) => void = () => undefined;
   onCancelled: (id: JobId) => void = () => undefined;
   /** A peer that was heard in this life refuses connections, and has said nothing for a while. */
@@ -121,10 +125,18 @@
       after: 0,
       aborted: [],
       last: 0,
+      ...this.zoneAges(),
       ...extra,
     };
   }
 
+  private zoneAges(): Pick<Frame, 'zones' | 'zoneAgesMs'> {
+    const heard = [...(this.zonesOfHolder() ?? [])];
+    const now = this.clock.now();
+    const age = (at: SteadyMs): number => Math.max(0, Math.min(3_600_000, Math.ceil(now - at)));
+    return { zones: heard.map(([zone]) => zone), zoneAgesMs: heard.map(([, at]) => age(at)) };
+  }
+
   private ping(peer: Peer): void {
     const number = ++this.pings;
     peer.sent.set(number, this.clock.now());
@@ -174,6 +186,10 @@
     }
     const sent = peer.sent.get(frame.number);
     if (sent === undefined) return;
+    const now = this.clock.now();
+    frame.zones.forEach((zone, i) => {
+      this.zonesHeard.set(zone as ZoneName, (now - (frame.zoneAgesMs[i] ?? 0)) as SteadyMs);
+    });
     if (frame.incarnation !== peer.incarnation) {
       peer.incarnation = frame.incarnation;
       peer.after = 0;
--- a/src/transport/mesh.ts
+++ b/src/transport/mesh.ts
@@ -18,6 +18,8 @@
     uint64 after = 9;
     repeated string aborted = 10;
     uint64 last = 11;
+    repeated string zones = 12;
+    repeated uint32 zone_ages_ms = 13;
   }
 `,
   { keepCase: false },
@@ -45,6 +47,9 @@
   /** Pong: cancellations behind `after`, and the number of the last one. */
   readonly aborted: readonly string[];
   readonly last: number;
+  /** Of the term's holder: zones, and how long ago it heard any worker of each. */
+  readonly zones: readonly string[];
+  readonly zoneAgesMs: readonly number[];
 }
 
 export interface Mesh {
--- a/test/transport.test.ts
+++ b/test/transport.test.ts
@@ -124,6 +124,8 @@
     after: 0,
     aborted: Array.from({ length: number * 1000 }, (_, i) => `req-${i}`),
     last: 3,
+    zones: ['a', 'b'],
+    zoneAgesMs: [0, 3_600_000],
   });
   await new Promise((resolve) => setTimeout(resolve, 50));
   for (const n of [1, 2, 3]) one.send('b', frame(n));
