--- /dev/null
+++ b/src/bookkeeping/pipeline-book.ts
@@ -0,0 +1,206 @@
+import { NO_MARK, type JobId, type Mark, type PipelineId } from '../protocol/ids.js';
+import type { StepSpec } from '../protocol/pipelines.js';
+import type { Log } from '../transport/log.js';
+import {
+  headSchema,
+  partSchema,
+  pipelineKey,
+  type PipelineHead,
+  type PipelinePart,
+} from './pipeline-records.js';
+import { unseal, type Sealed } from './records.js';
+
+/** What the mirror of rows hands on: keys under the rows' prefix that are no rows. */
+export interface MirrorGuest {
+  put(key: string, value: unknown, mark: Mark): void;
+  remove(key: string, mark: Mark): void;
+  /** The copy was read anew: what isn't among these keys had gone by this mark. */
+  reloaded(keys: ReadonlySet<string>, mark: Mark): void;
+}
+
+/** A pipeline whose parts are all there and are those that its head names. */
+export interface Pipeline {
+  readonly id: PipelineId;
+  readonly head: PipelineHead;
+  readonly mark: Mark;
+  readonly steps: readonly StepSpec[];
+  /** Steps that need a step, by its place. */
+  readonly dependents: readonly (readonly number[])[];
+}
+
+export interface StepPlace {
+  readonly pipeline: Pipeline;
+  readonly index: number;
+}
+
+interface Draft {
+  head: { readonly value: PipelineHead; readonly mark: Mark } | undefined;
+  readonly parts: Map<number, { readonly part: PipelinePart; readonly sum: string; readonly mark: Mark }>;
+  steps: readonly StepSpec[] | undefined;
+  dependents: readonly (readonly number[])[];
+}
+
+const TOMBSTONES = 4096;
+
+/**
+ * This node's copy of all live pipelines, as new as its copy of the rows: both come by the same watch. What a holder wrote
+ * itself is entered at once with the mark of its commit.
+ */
+export class PipelineBook implements MirrorGuest {
+  private readonly drafts = new Map<PipelineId, Draft>();
+  private readonly marks = new Map<string, Mark>();
+  private readonly removed = new Map<string, Mark>();
+  private readonly whole = new Map<PipelineId, Pipeline>();
+  private readonly places = new Map<JobId, { readonly id: PipelineId; readonly index: number }>();
+  /** Mark of the key that every acceptance rewrites. */
+  epoch: Mark = NO_MARK;
+  /** Pipelines that may have something to be done for: whoever does it removes them. */
+  readonly dirty = new Set<PipelineId>();
+  onChange: (id: PipelineId) => void = () => undefined;
+
+  constructor(private readonly log: Log) {}
+
+  get(id: PipelineId): Pipeline | undefined {
+    return this.whole.get(id);
+  }
+
+  all(): IterableIterator<Pipeline> {
+    return this.whole.values();
+  }
+
+  get size(): number {
+    return this.whole.size;
+  }
+
+  stepOf(job: JobId): StepPlace | undefined {
+    const place = this.places.get(job);
+    const pipeline = place && this.whole.get(place.id);
+    return pipeline ? { pipeline, index: place.index } : undefined;
+  }
+
+  /** Parts whose head is missing: an acceptance under way, or what an interrupted one left. */
+  *headless(): IterableIterator<{
+    readonly id: PipelineId;
+    readonly parts: readonly (PipelinePart & { readonly mark: Mark })[];
+  }> {
+    for (const [id, d] of this.drafts) {
+      if (!d.head && d.parts.size > 0)
+        yield { id, parts: [...d.parts.values()].map((p) => ({ ...p.part, mark: p.mark })) };
+    }
+  }
+
+  /** Checksums of the parts that are there, by number. */
+  partSums(id: PipelineId): ReadonlyMap<number, string> {
+    return new Map([...(this.drafts.get(id)?.parts ?? [])].map(([n, p]) => [n, p.sum]));
+  }
+
+  headOf(id: PipelineId): { readonly value: PipelineHead; readonly mark: Mark } | undefined {
+    return this.drafts.get(id)?.head;
+  }
+
+  /** What this node wrote itself. */
+  wrote(head: PipelineHead, mark: Mark): void {
+    const draft = this.draft(head.id);
+    if (draft.head && draft.head.mark >= mark) return;
+    draft.head = { value: head, mark };
+    this.complete(head.id, draft);
+  }
+
+  forgot(id: PipelineId): void {
+    this.drafts.delete(id);
+    this.drop(id);
+  }
+
+  put(text: string, value: unknown, mark: Mark): void {
+    const at = pipelineKey(text);
+    if (!at || mark <= this.known(text)) return;
+    this.marks.set(text, mark);
+    this.removed.delete(text);
+    if (at.kind === 'epoch') {
+      if (mark > this.epoch) this.epoch = mark;
+      return;
+    }
+    const draft = this.draft(at.id);
+    if (at.kind === 'head') {
+      const head = unseal(headSchema, value);
+      if (!head.ok) return this.log.error('pipeline-unreadable', { pipeline: at.id, why: head.error });
+      if (draft.head && draft.head.mark >= mark) return;
+      draft.head = { value: head.value, mark };
+    } else {
+      const part = unseal(partSchema, value);
+      if (!part.ok) return this.log.error('pipeline-unreadable', { pipeline: at.id, why: part.error });
+      draft.parts.set(at.n, { part: part.value, sum: (value as Sealed).sum, mark });
+      draft.steps = undefined;
+    }
+    this.complete(at.id, draft);
+  }
+
+  remove(text: string, mark: Mark): void {
+    const at = pipelineKey(text);
+    if (!at || mark <= this.known(text)) return;
+    this.marks.delete(text);
+    this.removed.set(text, mark);
+    if (this.removed.size > TOMBSTONES) this.removed.delete(this.removed.keys().next().value!);
+    if (at.kind === 'epoch') return;
+    const draft = this.drafts.get(at.id);
+    if (!draft) return;
+    if (at.kind === 'head') {
+      if (draft.head && draft.head.mark > mark) return;
+      draft.head = undefined;
+      this.drop(at.id);
+    } else draft.parts.delete(at.n);
+    if (!draft.head && draft.parts.size === 0) this.drafts.delete(at.id);
+    this.onChange(at.id);
+  }
+
+  reloaded(keys: ReadonlySet<string>, mark: Mark): void {
+    for (const [text, known] of [...this.marks])
+      if (!keys.has(text) && known <= mark) this.remove(text, mark);
+  }
+
+  private known(text: string): Mark {
+    return this.marks.get(text) ?? this.removed.get(text) ?? NO_MARK;
+  }
+
+  private draft(id: PipelineId): Draft {
+    let draft = this.drafts.get(id);
+    if (!draft)
+      this.drafts.set(id, (draft = { head: undefined, parts: new Map(), steps: undefined, dependents: [] }));
+    return draft;
+  }
+
+  /** With its head and just the parts that the head names, a pipeline is known. */
+  private complete(id: PipelineId, draft: Draft): void {
+    const { head } = draft;
+    if (!head) return;
+    if (!draft.steps) {
+      const parts = head.value.parts.map((sum, n) => {
+        const p = draft.parts.get(n);
+        return p?.sum === sum ? p.part : undefined;
+      });
+      if (parts.some((p) => p === undefined)) return;
+      draft.steps = parts.flatMap((p) => p!.steps);
+      const dependents: number[][] = draft.steps.map(() => []);
+      draft.steps.forEach((s, i) => s.needs.forEach((n) => dependents[n]?.push(i)));
+      draft.dependents = dependents;
+      draft.steps.forEach((s, index) => this.places.set(s.job.id, { id, index }));
+    }
+    this.whole.set(id, {
+      id,
+      head: head.value,
+      mark: head.mark,
+      steps: draft.steps,
+      dependents: draft.dependents,
+    });
+    this.dirty.add(id);
+    this.onChange(id);
+  }
+
+  private drop(id: PipelineId): void {
+    const known = this.whole.get(id);
+    if (!known) return;
+    for (const s of known.steps) if (this.places.get(s.job.id)?.id === id) this.places.delete(s.job.id);
+    this.whole.delete(id);
+    this.dirty.delete(id);
+  }
+}
--- a/src/protocol/ids.ts
+++ b/src/protocol/ids.ts
@@ -9,6 +9,9 @@
 export type ZoneName = Brand<string, 'ZoneName'>;
 export type MemberName = Brand<string, 'MemberName'>;
 export type PlanId = Brand<string, 'PlanId'>;
+export type PipelineId = Brand<string, 'PipelineId'>;
+/** Place of a step in its pipeline, counted from 0. */
+export type StepIndex = Brand<number, 'StepIndex'>;
 export type StoreKey = Brand<string, 'StoreKey'>;
 export type Address = Brand<string, 'Address'>;
 export type TaskIndex = Brand<number, 'TaskIndex'>;
@@ -25,6 +28,8 @@
 export const NO_MARK = 0n as Mark;
 export const JOB_ID = /^req-[0-9]{1,18}$/;
 
+export const PIPELINE_ID = /^[a-z][a-z0-9-]{0,62}$/;
+
 export const taskName = (job: JobId, index: TaskIndex): string => `${job}/${index}`;
 
 export function parseTaskName(name: string): { job: JobId; index: TaskIndex } | undefined {
--- a/src/protocol/wire.ts
+++ b/src/protocol/wire.ts
@@ -138,6 +138,35 @@
   changes: '/changes',
 } as const;
 
+/** Pipelines are this project's own addition to the users' interface; their fields keep the field's terms. */
+export const P = {
+  shapes: 'shapes',
+  shape: 'shape',
+  steps: 'steps',
+  name: 'name',
+  needs: 'needs',
+  when: 'when',
+  retries: 'retries',
+  backoffS: 'backoff_s',
+  dueMs: 'due_ms',
+  startMs: 'start_ms',
+  missed: 'missed',
+  lateS: 'late_s',
+  onCancel: 'on_cancel',
+  waitsFor: 'waits_for',
+  why: 'why',
+  faults: 'faults',
+  more: 'more',
+} as const;
+
+export const PipelinePaths = {
+  all: '/v1/pipelines',
+  check: '/v1/pipelines/check',
+  one: '/v1/pipelines/:id',
+  cancel: '/v1/pipelines/:id/abort',
+  retry: '/v1/pipelines/:id/retry',
+} as const;
+
 export const CONTENT_TYPE = 'application/cbor';
 
 /** Names in the settings file that the platform hands over. */
