--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -1,6 +1,6 @@
 import type { SteadyMs } from '../transport/clock.js';
 import type { MachineType } from '../protocol/cloud.js';
-import type { JobId, TaskIndex, TeamName, TypeName, ZoneName } from '../protocol/ids.js';
+import type { ImageName, JobId, TaskIndex, TeamName, TypeName, ZoneName } from '../protocol/ids.js';
 import { priorityRank, type JobSpec } from '../protocol/jobs.js';
 import type { Settings, TeamLimits } from '../protocol/settings.js';
 import type { Estimates } from '../bookkeeping/estimates.js';
@@ -27,9 +27,7 @@
   /** Time since then in which this process could hear: its own lateness is no machine's silence. */
   readonly silentMs: (then: SteadyMs) => number;
   readonly maxTasks: number;
-  /** Jobs of a round, and among them those whose rows have to be written: each costs a change. */
   readonly maxJobs: number;
-  readonly maxRows: number;
   /** How long a job waits before running work is stopped for it. */
   readonly preemptAfterMs: number;
   readonly estimates: Estimates;
@@ -102,9 +100,6 @@
 
 export { roomFor };
 
-/** A round writes the row of a job that starts for the first time; of the others it claims a generation in its receipt. */
-export const needsRow = (job: Job): boolean => job.row.state === 'queued';
-
 export const fitsType = (s: JobSpec, t: MachineType): boolean =>
   (s.types === null || s.types.includes(t.name)) && roomFor(t, s);
 
@@ -245,10 +240,6 @@
 /** Jobs of each sort for which a round looks into stopping others: the first in order; the rest has its turn in later rounds. */
 const MOST_SEARCHES = 24;
 
-/** Of a round's jobs, how many may be arrays out of turn, and how much such a job must bring. */
-const BULK_SHARE = 0.2;
-const BULK_TASKS = 16;
-
 /** What a failed search says of others like it: no room for so much, of such kinds, in such zones. */
 interface Shape {
   readonly kinds: string;
@@ -263,7 +254,6 @@
   private readonly use: Map<TeamName, Use>;
   private readonly within: ReadonlySet<JobId>;
   private readonly jobsInRound = new Set<JobId>();
-  private rowsInRound = 0;
   private readonly order: (a: Job, b: Job) => number;
   private readonly strangers = new Set<string>();
   private readonly full: Shape[] = [];
@@ -328,15 +318,17 @@
       if (job.cancelledAt === undefined && waitingCount(job) > 0) waiting.push(job);
     }
     waiting.sort(this.order);
-    const bulk = this.bulkOf(waiting);
-    this.places = this.s.maxJobs - bulk.length;
-    for (const job of waiting) {
-      // The places kept back are filled as soon as all others are.
-      if (this.places < this.s.maxJobs && this.jobsInRound.size >= this.places) {
-        this.places = this.s.maxJobs;
-        for (const big of bulk) if (!this.handled.has(big)) this.planJob(big);
+    for (let i = 0; i < waiting.length;) {
+      const equals = this.equalArrays(waiting, i);
+      const overdue = new Set<Job>();
+      if (equals.length > 1) {
+        for (const job of equals) {
+          if (this.overdue(job)) overdue.add(job);
+          this.planJob(job, !overdue.has(job));
+        }
       }
-      if (!this.handled.has(job)) this.planJob(job);
+      for (const job of equals) if (!overdue.has(job)) this.planJob(job);
+      i += equals.length;
     }
     return {
       tasks: this.tasks,
@@ -346,40 +338,42 @@
     };
   }
 
-  /** How many jobs the round takes for now. */
-  private places = 0;
-  private readonly handled = new Set<Job>();
+  /** The job at this place of the order, with the arrays behind it that only their due time puts behind it. */
+  private equalArrays(waiting: readonly Job[], from: number): readonly Job[] {
+    const first = waiting[from]!;
+    let to = from + 1;
+    if (first.spec.kind === 'array') {
+      const same = (j: Job): boolean =>
+        j.spec.kind === 'array' &&
+        j.spec.priority === first.spec.priority &&
+        this.within.has(j.id) === this.within.has(first.id);
+      while (to < waiting.length && same(waiting[to]!)) to++;
+    }
+    return waiting.slice(from, to);
+  }
 
   /**
-   * A round is paid for by the job. When hundreds of jobs miss a task or two each (replicas whose leases ran out), and
-   * there is room for them all and as much again, a place or two go to arrays out of turn: one change places a hundred
-   * tasks whose machines would stand empty until the last replica had its round.
+   * Among equal arrays, room goes to those whose image is there before any goes to one that would have to fetch it: in a
+   * full fleet each freed card went to whatever was due first, and a fifth of all card time was spent on fetches. No job
+   * stands back for longer than half of what its class may take.
    */
-  private bulkOf(waiting: readonly Job[]): Job[] {
-    if (waiting.length <= this.s.maxJobs) return [];
-    const need = { cpus: 0, gpus: 0, memoryGb: 0 };
-    for (const job of waiting) {
-      if (job.spec.kind === 'array') continue;
-      const n = waitingCount(job);
-      need.cpus += 2 * n * job.spec.cpus;
-      need.gpus += 2 * n * job.spec.gpus;
-      need.memoryGb += 2 * n * job.spec.memoryGb;
-    }
-    if (!roomFor(this.rooms.free(), need)) return [];
-    const out: Job[] = [];
-    for (const job of waiting) {
-      if (out.length >= Math.floor(this.s.maxJobs * BULK_SHARE)) break;
-      if (job.spec.kind !== 'array' || job.notBefore > this.s.now) continue;
-      if (Math.min(waitingCount(job), this.allowance(job.spec)) >= BULK_TASKS) out.push(job);
-    }
-    return out;
+  private overdue(job: Job): boolean {
+    const aims = this.s.aims.finishByClass.get(job.spec.class);
+    const most = aims && aims.length > 0 ? aims[aims.length - 1]! : (job.spec.deadlineS ?? PATIENT_S);
+    return this.s.now - job.acceptedAt > most * 500;
   }
 
-  private planJob(job: Job): void {
-    this.handled.add(job);
+  /** Tasks of each job that this round has a place for already, and the zones of those and of all before them. */
+  private readonly placed = new Map<Job, number>();
+  private readonly zonesSoFar = new Map<Job, Map<ZoneName, number>>();
+
+  private planJob(job: Job, warmOnly = false): void {
     const { spec } = job;
-    const count = waitingCount(job);
+    const before = this.placed.get(job) ?? 0;
+    const count = waitingCount(job) - before;
+    if (count <= 0) return;
     const put = (reason: WaitReason, n: number): void => {
+      if (warmOnly) return;
       // What the team's limit keeps from running anyway needs no room, and above all no rented machine.
       const allowed = reason === 'no room' ? Math.min(n, this.allowance(spec)) : n;
       if (allowed > 0) this.unplaced.push({ job, count: allowed, reason });
@@ -389,22 +383,27 @@
     if (spec.kind === 'gang') return this.planGang(job, count, put);
     if (!this.underLimit(spec, 1)) return put('team limit', count);
     if (!this.roundHasRoom(job, 1)) return put('round full', count);
-    const zones = zonesOf(job);
+    const zones = this.zonesSoFar.get(job) ?? zonesOf(job);
+    this.zonesSoFar.set(job, zones);
     const kinds = this.kindsOf(job, zones);
     if (kinds !== undefined && this.knownFull(kinds, spec)) {
-      this.makeRoom(job, count);
+      if (!warmOnly) this.makeRoom(job, count);
       return put('no room', count);
     }
     const left = Math.max(1, this.s.maxTasks - this.tasks.length);
-    const waiting = waitingTasks(job, left).filter((i) => !this.strangers.has(`${job.id}/${i}`));
+    const waiting = waitingTasks(job, before + left)
+      .slice(before)
+      .filter((i) => !this.strangers.has(`${job.id}/${i}`));
     const images = this.imageRooms(job);
+    if (warmOnly && images.length === 0) return;
     let kept = 0;
     for (let k = 0; k < waiting.length; k++) {
       const rest = count - k;
       if (!this.underLimit(spec, 1)) return put('team limit', rest + kept);
       if (!this.roundHasRoom(job, 1)) return put('round full', rest + kept);
-      const room = this.pick(job, zones, images);
+      const room = warmOnly ? this.warmest(job, zones, images) : this.pick(job, zones, images);
       if (!room) {
+        if (warmOnly) return;
         if (kinds !== undefined && k === 0) this.full.push({ kinds, need: spec });
         this.makeRoom(job, rest);
         return put('no room', rest + kept);
@@ -462,16 +461,13 @@
 
   private roundHasRoom(job: Job, n: number): boolean {
     const first = this.tasks.length === 0;
-    if (!this.jobsInRound.has(job.id)) {
-      if (this.jobsInRound.size >= this.places) return false;
-      if (needsRow(job) && this.rowsInRound >= this.s.maxRows) return false;
-    }
+    if (!this.jobsInRound.has(job.id) && this.jobsInRound.size >= this.s.maxJobs) return false;
     return first || this.tasks.length + n <= this.s.maxTasks;
   }
 
   private accept(job: Job, indices: readonly TaskIndex[], rooms: readonly Room[]): void {
-    if (!this.jobsInRound.has(job.id) && needsRow(job)) this.rowsInRound++;
     this.jobsInRound.add(job.id);
+    this.placed.set(job, (this.placed.get(job) ?? 0) + indices.length);
     indices.forEach((index, k) => this.tasks.push({ job, index, machine: rooms[k]!.machine }));
     for (let k = 0; k < indices.length; k++) {
       if (job.spec.kind !== 'gang') this.occupy(rooms[k]!, job.spec, 1);
@@ -498,6 +494,24 @@
     zones: ReadonlyMap<ZoneName, number>,
     images: readonly Room[],
     zone?: ZoneName,
+  ): Room | undefined {
+    const { spec } = job;
+    const best = this.warmest(job, zones, images, zone);
+    if (best && (!spec.spot || best.machine.spot)) return best;
+    const ok = (r: Room): boolean =>
+      (zone === undefined || r.machine.zone === zone) && this.eligible(job, zones, r);
+    const free = this.rooms.mostFree(spec, ok);
+    // Work that may use the cheaper kind goes there even where the image is missing.
+    if (!best || (free && free.machine.spot && spec.spot && !best.machine.spot)) return free;
+    return best;
+  }
+
+  /** The best of the rooms that hold the image, or will soon. */
+  private warmest(
+    job: Job,
+    zones: ReadonlyMap<ZoneName, number>,
+    images: readonly Room[],
+    zone?: ZoneName,
   ): Room | undefined {
     const { spec } = job;
     const ok = (r: Room): boolean =>
@@ -523,23 +537,27 @@
         bestScore = score;
       }
     }
-    if (best && (!spec.spot || best.machine.spot)) return best;
-    const free = this.rooms.mostFree(spec, ok);
-    // Work that may use the cheaper kind goes there even where the image is missing.
-    if (!best || (free && free.machine.spot && spec.spot && !best.machine.spot)) return free;
     return best;
   }
 
   /** The rooms that hold the job's image or are just fetching it. */
   private imageRooms(job: Job): Room[] {
-    const out: Room[] = [];
-    for (const m of this.s.world.withImage(job.spec.image)) {
-      const room = this.rooms.of(m);
-      if (room && roomFor(room, job.spec)) out.push(room);
+    const { image } = job.spec;
+    let all = this.holders.get(image);
+    if (!all) {
+      all = [];
+      for (const m of this.s.world.withImage(image)) {
+        const room = this.rooms.of(m);
+        if (room) all.push(room);
+      }
+      this.holders.set(image, all);
     }
-    return out;
+    return all.filter((room) => roomFor(room, job.spec));
   }
 
+  /** Looked up once a round for each image; what the round itself makes fetch one is added job by job. */
+  private readonly holders = new Map<ImageName, Room[]>();
+
   private holdsImage(m: Machine, job: Job): boolean {
     return m.images.has(job.spec.image);
   }
