--- a/src/bookkeeping/mirror.ts
+++ b/src/bookkeeping/mirror.ts
@@ -4,6 +4,7 @@
 import { jitter, type Random } from '../transport/random.js';
 import { NO_MARK, type JobId, type Mark, type Revision } from '../protocol/ids.js';
 import type { StoreEvent } from '../protocol/state.js';
+import type { MirrorGuest } from './pipeline-book.js';
 import { Prefix, rowSchema, unseal, type Row } from './records.js';
 import type { Store } from './store.js';
 
@@ -12,6 +13,9 @@
   readonly mark: Mark;
 }
 
+/** All jobs' ids begin alike, and nothing else under their prefix does. */
+const isRow = (key: string): boolean => key.startsWith('req-', Prefix.job.length);
+
 const WATCH_MS = 4000;
 const TOMBSTONES = 4096;
 /** Shares of the service's request rate that one node may take for questions and for its watch. */
@@ -52,6 +56,9 @@
     this.syncedAt = (clock.now() - 3_600_000) as SteadyMs;
   }
 
+  /** Who is given the keys under the rows' prefix that are no rows. */
+  guest: MirrorGuest | undefined;
+
   listen(listener: ((id: JobId, row: MirroredRow | undefined, mark: Mark) => void) | undefined): void {
     this.listener = listener;
   }
@@ -123,6 +130,7 @@
         this.remove(id, range.value.revision as unknown as Mark);
       }
     }
+    this.guest?.reloaded(present, range.value.revision as unknown as Mark);
     this.advance(range.value.revision, sent);
     this.log.info('mirror-loaded', { rows: this.rows.size });
     return true;
@@ -131,7 +139,8 @@
   private apply(events: readonly StoreEvent[], revision: Revision, sent: SteadyMs): void {
     for (const e of events) {
       if (e.op === 'put') this.put(e.key, e.value, e.mark);
-      else this.remove(e.key.slice(Prefix.job.length) as JobId, e.mark);
+      else if (isRow(e.key)) this.remove(e.key.slice(Prefix.job.length) as JobId, e.mark);
+      else this.guest?.remove(e.key, e.mark);
     }
     this.advance(revision, sent);
   }
@@ -142,6 +151,7 @@
   }
 
   private put(key: string, value: unknown, mark: Mark): void {
+    if (!isRow(key)) return this.guest?.put(key, value, mark);
     const id = key.slice(Prefix.job.length) as JobId;
     const known = this.rows.get(id)?.mark ?? this.removed.get(id) ?? NO_MARK;
     if (mark <= known) return;
--- a/src/bookkeeping/pipeline-book.ts
+++ b/src/bookkeeping/pipeline-book.ts
@@ -5,10 +5,11 @@
   headSchema,
   partSchema,
   pipelineKey,
+  PipelineKeys,
   type PipelineHead,
   type PipelinePart,
 } from './pipeline-records.js';
-import { unseal, type Sealed } from './records.js';
+import { checksum, unseal, type Sealed } from './records.js';
 
 /** What the mirror of rows hands on: keys under the rows' prefix that are no rows. */
 export interface MirrorGuest {
@@ -94,6 +95,14 @@
     return new Map([...(this.drafts.get(id)?.parts ?? [])].map(([n, p]) => [n, p.sum]));
   }
 
+  /** Whether the parts that are there, so many of them, say the same as this. */
+  matches(spec: { readonly id: PipelineId; readonly steps: readonly StepSpec[] }, count: number): boolean {
+    const parts = this.drafts.get(spec.id)?.parts;
+    if (!parts) return false;
+    const steps = Array.from({ length: count }, (_, n) => parts.get(n)?.part.steps ?? []).flat();
+    return checksum(steps) === checksum(spec.steps);
+  }
+
   headOf(id: PipelineId): { readonly value: PipelineHead; readonly mark: Mark } | undefined {
     return this.drafts.get(id)?.head;
   }
@@ -106,11 +115,19 @@
     this.complete(head.id, draft);
   }
 
-  forgot(id: PipelineId): void {
+  /** Its end was written by this node itself; older news of its head may still be on the way here. */
+  forgot(id: PipelineId, mark: Mark): void {
+    this.entomb(PipelineKeys.head(id), mark);
     this.drafts.delete(id);
     this.drop(id);
   }
 
+  private entomb(text: string, mark: Mark): void {
+    this.marks.delete(text);
+    this.removed.set(text, mark);
+    if (this.removed.size > TOMBSTONES) this.removed.delete(this.removed.keys().next().value!);
+  }
+
   put(text: string, value: unknown, mark: Mark): void {
     const at = pipelineKey(text);
     if (!at || mark <= this.known(text)) return;
@@ -138,9 +155,7 @@
   remove(text: string, mark: Mark): void {
     const at = pipelineKey(text);
     if (!at || mark <= this.known(text)) return;
-    this.marks.delete(text);
-    this.removed.set(text, mark);
-    if (this.removed.size > TOMBSTONES) this.removed.delete(this.removed.keys().next().value!);
+    this.entomb(text, mark);
     if (at.kind === 'epoch') return;
     const draft = this.drafts.get(at.id);
     if (!draft) return;
--- a/src/bookkeeping/world.ts
+++ b/src/bookkeeping/world.ts
@@ -70,6 +70,10 @@
   cancelledAt: SteadyMs | undefined;
   /** Faults in a row, for backing off. */
   errors: number;
+  /** Faults in all that this holder saw. */
+  faults: number;
+  /** Given up for now: its tasks are not placed, and it claims nothing of its team's guarantee. */
+  parked: boolean;
   notBefore: SteadyMs;
   /** Machines that refused or failed a task of this job lately. */
   readonly avoid: Map<MachineId, SteadyMs>;
@@ -166,6 +170,8 @@
   private readonly likely = new Map<ImageName, Set<Machine>>();
   /** Placements whose worker was not told to stop them yet. */
   readonly stopping = new Set<Placement>();
+  /** Jobs that had a fault which nobody has looked at yet. */
+  readonly faulty = new Set<Job>();
   /** Jobs that have started, and since when, whose rows don't say so yet; the first to start comes first. */
   readonly unstamped = new Map<Job, SteadyMs>();
   /** Machines with tasks that no live plan put there. */
@@ -196,6 +202,8 @@
       acceptedAt,
       cancelledAt,
       errors: 0,
+      faults: 0,
+      parked: false,
       notBefore: 0 as SteadyMs,
       avoid: new Map(),
       finishChunks: new Set(),
@@ -406,6 +414,7 @@
   dropJob(job: Job): void {
     this.jobs.delete(job.id);
     this.unstamped.delete(job);
+    this.faulty.delete(job);
     for (const key of job.finishNotes) this.unmention(job, key);
   }
 
@@ -492,7 +501,8 @@
 }
 
 /** Tasks of the job that wait for a place. */
-export const waitingCount = (job: Job): number => job.spec.tasks - job.done.count - job.placements.size;
+export const waitingCount = (job: Job): number =>
+  job.parked ? 0 : job.spec.tasks - job.done.count - job.placements.size;
 
 /** The quota ledger: what each team's tasks use, counting all that is possibly on a machine. */
 export function teamUse(world: World): Map<TeamName, Use> {
--- a/src/coordination/command.ts
+++ b/src/coordination/command.ts
@@ -198,6 +198,8 @@
   const { job, machine } = p;
   if (how === 'error') {
     job.errors++;
+    job.faults++;
+    ctx.world.faulty.add(job);
     machine.errors++;
     machine.suspectUntil = plus(now, Math.min(120, 5 * 2 ** machine.errors) * 1000);
     job.avoid.set(machine.id, plus(now, 300_000));
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -19,6 +19,7 @@
 import { explainJob } from './explain.js';
 import { Holder } from './holder.js';
 import { Peers } from './peers.js';
+import type { Pipelines, PipelinesDeps } from './pipelines/index.js';
 import { TermKeeper } from './term.js';
 import { TypeBook } from './types.js';
 import { Users } from './users.js';
@@ -32,6 +33,8 @@
   readonly http: HttpClient;
   readonly mesh: Mesh;
   readonly metrics: Metrics;
+  /** Loaded by the caller where the operator enabled pipelines, and only there. */
+  readonly pipelines?: ((d: PipelinesDeps) => Pipelines) | undefined;
   /** Differs from one life of the process to the next. */
   readonly incarnation: number;
 }
@@ -41,7 +44,7 @@
 const ROUND_PLEDGE = 0.12;
 
 /** The operators' own paths; users' paths are the protocol's. */
-export const OPS = { explain: '/ops/explain/:id', metrics: '/ops/metrics' } as const;
+export const OPS = { explain: '/ops/explain/:id', metrics: '/ops/metrics', names: '/ops/names' } as const;
 
 const json = (status: number, value: unknown): Reply => ({
   status,
@@ -64,6 +67,7 @@
   private readonly writes: Budget;
   holder: Holder | undefined;
   private readonly attention: Attention;
+  private readonly pipelines: Pipelines | undefined;
   /** How long after the last sight of all cancellations a report may be answered. */
   private readonly blindMs: number;
 
@@ -125,6 +129,23 @@
     });
     this.cloud = new Cloud(d.http, settings.cloud, clock, cloudBudget);
     this.types = new TypeBook(this.cloud, this.store, clock, random, log);
+    this.pipelines = d.pipelines?.({
+      clock,
+      log,
+      metrics: d.metrics,
+      store: this.store,
+      mirror: this.mirror,
+      peers: this.peers,
+      settings,
+      limits: {
+        steps: operator.pipelineSteps,
+        perTeam: operator.pipelinesPerTeam,
+        held: operator.heldSteps,
+      },
+      neverRuns: (spec) => this.users.neverRuns(spec),
+      ready: () => this.users.notReady(),
+      running: (id) => (this.countsOf(id)?.running ?? 0) > 0,
+    });
     this.users = new Users({
       clock,
       attention: this.attention,
@@ -136,6 +157,7 @@
       settings,
       teams: this.teams,
       counts: (id) => this.countsOf(id),
+      steps: this.pipelines?.users,
     });
     // A report answered now keeps its worker's tasks for up to a lease from now. A cancellation that this
     // node may have missed since it last saw them all must find them gone within its bound.
@@ -159,6 +181,7 @@
           cloud: this.cloud,
           http: d.http,
           teams: this.teams,
+          pipelines: this.pipelines,
         },
         held,
       );
@@ -237,9 +260,22 @@
       { method: 'POST', path: Paths.cancel, handle: (params) => this.users.cancel(params['id'] ?? '') },
       { method: 'GET', path: Paths.health, handle: () => this.health() },
       { method: 'POST', path: Paths.report, handle: (_, body) => this.report(body) },
+      { method: 'GET', path: OPS.names, handle: () => this.names() },
+      ...(this.pipelines?.routes ?? []),
     ];
   }
 
+  /** What the command line completes: teams, and classes of jobs that are or were expected here. */
+  private names(): Reply {
+    const classes = new Set(this.d.settings.objectives.flatMap((o) => o.class ?? []));
+    for (const [, { row }] of this.mirror.entries()) classes.add(row.spec.class);
+    return json(200, {
+      teams: [...this.teams.keys()].sort(),
+      classes: [...classes].sort(),
+      types: [...this.types.all().keys()].sort(),
+    });
+  }
+
   private async explain(id: string): Promise<Reply> {
     if (!JOB_ID.test(id)) return json(404, { job: id, lines: ['No job has such an id.'] });
     const { holder } = this;
@@ -259,7 +295,8 @@
       },
       id as JobId,
     );
-    if (lines) return json(200, { job: id, lines });
+    const step = this.pipelines?.explain(id as JobId) ?? [];
+    if (lines || step.length > 0) return json(200, { job: id, lines: [...step, ...(lines ?? [])] });
     const state = await this.users.show(id);
     const text =
       state.status === 200
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -45,6 +45,7 @@
 } from './planner.js';
 import { nextSettlement } from './settle.js';
 import type { HeldTerm, TermKeeper } from './term.js';
+import type { Pipelines } from './pipelines/index.js';
 import type { TypeBook } from './types.js';
 
 export interface HolderDeps extends Omit<FleetDeps, 'held'> {
@@ -59,6 +60,8 @@
   readonly operator: Operator;
   readonly metrics: Metrics;
   readonly reader: ReportReader;
+  /** There only where pipelines are served. */
+  readonly pipelines?: Pipelines | undefined;
 }
 
 /** How long the worker may take over a direct command; its answer usually takes milliseconds. */
@@ -120,6 +123,7 @@
   stop(): void {
     this.alive = false;
     this.d.mirror.listen(undefined);
+    this.d.pipelines?.stop(this.world);
     this.wakeUp?.();
     this.nudge?.();
   }
@@ -145,6 +149,11 @@
     await d.mirror.sync();
     // Rows may have come between the load and the listening.
     for (const [id, row] of d.mirror.entries()) this.onRow(id, row, row.mark);
+    d.pipelines?.serve(
+      this.world,
+      () => this.wake(),
+      (id) => this.heardCancelled(id),
+    );
     this.fleet = new Fleet(
       { ...d, held: this.held },
       this.world,
@@ -183,6 +192,7 @@
         row.row.state === 'cancelled' ? this.d.clock.now() : undefined,
       );
       this.d.log.info('job-seen', { job: id, class: added.spec.class, tasks: added.spec.tasks });
+      this.d.pipelines?.rowSeen(id);
       this.wake();
       return;
     }
@@ -661,6 +671,7 @@
               note: Keys.note(this.held.term, this.notes + 1),
               gathered: now - this.notedAt >= GATHER_MS,
               prompt: now - this.notedAt >= PROMPT_MS,
+              steps: d.pipelines?.settler(this.world, this.held.term),
             })
           : undefined;
       if (!work) {
@@ -684,7 +695,8 @@
       } else {
         const mark = outcome.value.revision as unknown as Mark;
         work.apply(mark);
-        d.log.info('ends-committed', { jobs: work.jobs.join(' '), tasks: work.placements });
+        if (work.jobs.length > 0)
+          d.log.info('ends-committed', { jobs: work.jobs.join(' '), tasks: work.placements });
         this.wake();
         // Ends come in many reports: some company makes fewer and fuller transactions.
         await sleep(d.clock, 100);
@@ -704,6 +716,7 @@
         if (plan.open <= 0) world.dropPlan(plan, [Keys.plan(plan.id), Keys.receipt(plan.id)]);
       }
       await this.keepImages(world);
+      await this.dropLeftover();
       const keys = [...world.garbage].slice(0, d.settings.store.txnOps);
       behind = world.garbage.size > 2 * keys.length;
       if (keys.length === 0) continue;
@@ -764,6 +777,16 @@
     });
   }
 
+  private async dropLeftover(): Promise<void> {
+    const { d } = this;
+    const left = d.pipelines?.leftover(d.settings.store.txnOps);
+    if (!left) return;
+    const outcome = await this.write(left.conditions, left.changes, Rank.Garbage);
+    if (outcome.ok && outcome.value.kind === 'committed')
+      d.log.info('acceptance-collected', { pipeline: left.what });
+    else if (outcome.ok) await d.mirror.sync();
+  }
+
   private imagesAt = 0 as SteadyMs;
 
   /**
--- /dev/null
+++ b/src/coordination/pipelines/settler.ts
@@ -0,0 +1,247 @@
+import type { SteadyMs, WallMs } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import type { Metrics } from '../../transport/metrics.js';
+import { NO_MARK, type JobId, type Mark, type PipelineId, type Term } from '../../protocol/ids.js';
+import type { JobSpec } from '../../protocol/jobs.js';
+import type { Change, Condition } from '../../protocol/state.js';
+import type { Pipeline, PipelineBook } from '../../bookkeeping/pipeline-book.js';
+import { PipelineKeys, sealHead, type PipelineHead } from '../../bookkeeping/pipeline-records.js';
+import { Keys, seal, type EndRecord, type Row } from '../../bookkeeping/records.js';
+import type { Job, World } from '../../bookkeeping/world.js';
+import type { Piece, StepSettler } from '../settle.js';
+import { advance, isHeld, startsLater, type Advance, type News } from './progress.js';
+
+interface Gathered {
+  readonly done: number[];
+  readonly cancelled: number[];
+  readonly failures: Map<number, number>;
+}
+
+export interface SettlerDeps {
+  readonly book: PipelineBook;
+  readonly world: World;
+  readonly term: Term;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly wall: WallMs;
+  readonly now: SteadyMs;
+  /** Rows and ends that may be written besides those that go with an end: the rest has its turn later. */
+  readonly spare: number;
+  readonly spent: (n: number) => void;
+  /** Faults of each job that the head counts already, since this holder took over. */
+  readonly counted: Map<JobId, number>;
+  /** When a step's needs were met, where that was noticed before its release. */
+  readonly readySince: Map<JobId, SteadyMs>;
+}
+
+/**
+ * The part that pipelines have in one settlement. The end of a step's job, what it changes in its pipeline's head, and the
+ * rows of the steps it releases go in one transaction; what doesn't fit goes in later ones, each of which writes rows and
+ * the head that says so together. All condition on the head's mark, which a user's cancellation changes.
+ */
+export class PipelineSettler implements StepSettler {
+  private readonly touched = new Map<PipelineId, Gathered>();
+
+  constructor(private readonly d: SettlerDeps) {}
+
+  get reserved(): number {
+    return this.touched.size;
+  }
+
+  /** Changes that the end of this job costs on top: its pipeline's head, once for all ends of one transaction. */
+  extra(job: Job): number {
+    const step = this.d.book.stepOf(job.id);
+    return step && !this.touched.has(step.pipeline.id) ? 1 : 0;
+  }
+
+  ended(job: Job, how: 'done' | 'cancelled'): void {
+    const step = this.d.book.stepOf(job.id);
+    if (step) this.gathered(step.pipeline.id)[how].push(step.index);
+  }
+
+  private gathered(id: PipelineId): Gathered {
+    let g = this.touched.get(id);
+    if (!g) this.touched.set(id, (g = { done: [], cancelled: [], failures: new Map() }));
+    return g;
+  }
+
+  pieces(room: number): Piece[] {
+    const { book } = this.d;
+    const ends = [...this.touched.keys()];
+    let left = room - ends.length;
+    const out: Piece[] = [];
+    for (const id of ends) {
+      const pipeline = book.get(id);
+      if (!pipeline) continue;
+      const piece = this.piece(pipeline, left, true);
+      left -= piece.changes.length - 1;
+      out.push(piece);
+    }
+    let spare = this.d.spare;
+    this.noteFailures();
+    for (const id of [...book.dirty]) {
+      if (this.touched.has(id) && ends.includes(id)) continue;
+      const pipeline = book.get(id);
+      if (!pipeline) {
+        book.dirty.delete(id);
+        continue;
+      }
+      if (left < 2) break;
+      const piece = this.piece(pipeline, Math.min(left - 1, spare), false);
+      if (piece.changes.length === 0) continue;
+      left -= piece.changes.length;
+      spare -= piece.changes.length - 1;
+      out.push(piece);
+    }
+    return out;
+  }
+
+  /** Failed tries of steps that allow only so many. */
+  private noteFailures(): void {
+    const { book, world, counted } = this.d;
+    for (const job of world.faulty) {
+      const step = book.stepOf(job.id);
+      const fresh = job.faults - (counted.get(job.id) ?? 0);
+      if (!step || fresh <= 0 || step.pipeline.steps[step.index]!.retries === null) {
+        world.faulty.delete(job);
+        continue;
+      }
+      this.gathered(step.pipeline.id).failures.set(step.index, fresh);
+      book.dirty.add(step.pipeline.id);
+    }
+  }
+
+  private piece(pipeline: Pipeline, room: number, withEnds: boolean): Piece {
+    const { d } = this;
+    const news: News = this.touched.get(pipeline.id) ?? { done: [], cancelled: [], failures: new Map() };
+    const head = pipeline.head;
+    if (head.state !== 'live') {
+      d.book.dirty.delete(pipeline.id);
+      return EMPTY;
+    }
+    const found = advance(pipeline, news, d.wall, room);
+    if (!found.changed && !withEnds) {
+      // Nothing to do until something changes or a time comes; one with a time stays to be looked at.
+      if (!found.more && !startsLater(pipeline, d.wall)) d.book.dirty.delete(pipeline.id);
+      return EMPTY;
+    }
+    return this.write(pipeline, found, room, news, withEnds);
+  }
+
+  private write(pipeline: Pipeline, found: Advance, room: number, news: News, withEnds: boolean): Piece {
+    const { d } = this;
+    const { id, head, steps } = pipeline;
+    const rows = found.release.map((i) => this.rowOf(pipeline, i));
+    const used = found.release.length + found.withdraw.length;
+    const over = found.end !== undefined && used < room;
+    const next: PipelineHead = {
+      ...head,
+      progress: found.progress,
+      generation: head.generation + 1,
+      term: d.term,
+    };
+    const headKey = PipelineKeys.head(id);
+    const changes: Change[] = over
+      ? [
+          { op: 'delete', key: headKey },
+          { op: 'put', key: PipelineKeys.end(id), value: seal(found.end) },
+        ]
+      : [{ op: 'put', key: headKey, value: sealHead(next) }];
+    const conditions: Condition[] = [{ key: headKey, mark: pipeline.mark }];
+    for (const row of rows) {
+      conditions.push({ key: Keys.job(row.spec.id), mark: NO_MARK });
+      changes.push({ op: 'put', key: Keys.job(row.spec.id), value: seal(row) });
+    }
+    for (const i of found.withdraw) {
+      const end: EndRecord = { state: 'cancelled', done: 0 };
+      changes.push({ op: 'put', key: Keys.end(steps[i]!.job.id), value: seal(end) });
+    }
+    return {
+      conditions,
+      changes,
+      placements: 0,
+      apply: (mark) => this.apply(pipeline, found, over ? undefined : next, rows, news, withEnds, mark),
+    };
+  }
+
+  private apply(
+    pipeline: Pipeline,
+    found: Advance,
+    next: PipelineHead | undefined,
+    rows: readonly Row[],
+    news: News,
+    withEnds: boolean,
+    mark: Mark,
+  ): void {
+    const { d } = this;
+    const { id, steps } = pipeline;
+    for (const [i, n] of news.failures) {
+      const job = steps[i]!.job.id;
+      d.counted.set(job, (d.counted.get(job) ?? 0) + n);
+      const live = d.world.jobs.get(job);
+      if (live) d.world.faulty.delete(live);
+    }
+    if (!withEnds) d.spent(rows.length + found.withdraw.length);
+    if (next) d.book.wrote(next, mark);
+    else {
+      d.book.forgot(id, mark);
+      pipeline.head.parts.forEach((_, n) => d.world.garbage.add(PipelineKeys.part(id, n)));
+      d.log.info('pipeline-over', { pipeline: id, state: found.end?.state, done: found.end?.done });
+    }
+    for (const row of rows) {
+      const job = row.spec.id;
+      if (!d.world.jobs.has(job)) d.world.addJob(row, mark, d.now, undefined);
+      const since = d.readySince.get(job);
+      d.readySince.delete(job);
+      d.metrics.timeMs('step-release', since === undefined ? 0 : d.now - since);
+      d.log.info('step-released', { pipeline: id, job });
+    }
+    for (const i of found.withdraw) d.log.info('step-withdrawn', { pipeline: id, job: steps[i]!.job.id });
+    for (const i of found.progress.failed) {
+      if (pipeline.head.progress.failed.has(i)) continue;
+      d.log.info('step-failed', {
+        pipeline: id,
+        job: steps[i]!.job.id,
+        tries: found.progress.failures.get(i) ?? 0,
+      });
+    }
+    if (found.more) this.noteReady(pipeline, found);
+  }
+
+  private noteReady(pipeline: Pipeline, found: Advance): void {
+    const { d } = this;
+    const all = advance(
+      { ...pipeline, head: { ...pipeline.head, progress: found.progress } },
+      NONE,
+      d.wall,
+      Infinity,
+    );
+    for (const i of all.release) {
+      const job = pipeline.steps[i]!.job.id;
+      if (!d.readySince.has(job)) d.readySince.set(job, d.now);
+    }
+  }
+
+  /** As if its user had submitted it at the moment its needs were met; a deadline at a time of day counts down to it. */
+  private rowOf(pipeline: Pipeline, i: number): Row {
+    const { job, dueMs } = pipeline.steps[i]!;
+    const spec: JobSpec =
+      dueMs === null ? job : { ...job, deadlineS: Math.max(1, Math.round((dueMs - this.d.wall) / 1000)) };
+    return {
+      spec,
+      state: 'queued',
+      generation: 0,
+      term: this.d.term,
+      attempt: 0,
+      done: 0,
+      acceptedAt: this.d.wall,
+      cancelledAt: null,
+    };
+  }
+}
+
+const EMPTY: Piece = { conditions: [], changes: [], placements: 0, apply: () => undefined };
+const NONE: News = { done: [], cancelled: [], failures: new Map() };
+
+export const heldCount = (pipeline: Pipeline): number =>
+  pipeline.steps.reduce((n, _, i) => n + (isHeld(pipeline.head.progress, i) ? 1 : 0), 0);
--- /dev/null
+++ b/src/coordination/pipelines/structure.ts
@@ -0,0 +1,57 @@
+import type { PipelineSpec, StepFault } from '../../protocol/pipelines.js';
+
+/**
+ * What is wrong with a pipeline whatever the machines and teams: names and ids given twice, needs that aren't there, steps
+ * that wait for what never ends, and circles. Circles are named whole, once each.
+ */
+export function structureFaults(p: Pick<PipelineSpec, 'steps'>): StepFault[] {
+  const faults: StepFault[] = [];
+  const names = new Map<string, number>();
+  const ids = new Map<string, string>();
+  p.steps.forEach((s, i) => {
+    if (names.has(s.name)) faults.push({ step: s.name, what: 'another step has this name' });
+    names.set(s.name, i);
+    const other = ids.get(s.job.id);
+    if (other !== undefined)
+      faults.push({ step: s.name, what: `its id ${s.job.id} is also that of '${other}'` });
+    ids.set(s.job.id, s.name);
+    for (const n of s.needs) {
+      const needed = p.steps[n];
+      if (!needed) faults.push({ step: s.name, what: `it needs step number ${n}, which is not there` });
+      else if (needed.job.kind === 'service') {
+        faults.push({ step: s.name, what: `it needs '${needed.name}', a service, which never completes` });
+      }
+    }
+  });
+  const circle = findCircle(p.steps.map((s) => s.needs));
+  if (circle) {
+    const words = [...circle, circle[0]!].map((i) => p.steps[i]!.name).join(' needs ');
+    faults.push({ step: p.steps[circle[0]!]!.name, what: `it waits for itself: ${words}` });
+  }
+  return faults;
+}
+
+/** Places along a circle, each of which needs the next; undefined where there is none. Without recursion: files are long. */
+export function findCircle(needs: readonly (readonly number[])[]): number[] | undefined {
+  const state = new Uint8Array(needs.length); // 0 not seen, 1 on the way, 2 done
+  for (let root = 0; root < needs.length; root++) {
+    if (state[root] !== 0) continue;
+    const path: { at: number; next: number }[] = [{ at: root, next: 0 }];
+    state[root] = 1;
+    while (path.length > 0) {
+      const top = path[path.length - 1]!;
+      const need = needs[top.at]![top.next++];
+      if (need === undefined) {
+        state[top.at] = 2;
+        path.pop();
+      } else if (need >= 0 && need < needs.length) {
+        if (state[need] === 1) return path.slice(path.findIndex((p) => p.at === need)).map((p) => p.at);
+        if (state[need] === 0) {
+          state[need] = 1;
+          path.push({ at: need, next: 0 });
+        }
+      }
+    }
+  }
+  return undefined;
+}
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -129,7 +129,7 @@
 ): void {
   const sums = new Map<TeamName, Use>();
   for (const job of order) {
-    if (job.cancelledAt !== undefined) continue;
+    if (job.cancelledAt !== undefined || job.parked) continue;
     const team = teams.get(job.spec.team);
     if (!team || (team.cpus <= 0 && team.gpus <= 0)) continue;
     const use = sums.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
--- a/src/coordination/settle.ts
+++ b/src/coordination/settle.ts
@@ -24,6 +24,18 @@
   apply(mark: Mark): void;
 }
 
+/** What belongs to one transaction of ends. */
+export type Piece = Omit<Settlement, 'jobs'>;
+
+/** What steps of pipelines add to a settlement: the heads of their pipelines, and rows of steps that are free to start. */
+export interface StepSettler {
+  /** Changes promised for what was taken in already. */
+  readonly reserved: number;
+  extra(job: Job): number;
+  ended(job: Job, how: 'done' | 'cancelled'): void;
+  pieces(room: number): Piece[];
+}
+
 export interface SettleLimits {
   readonly txnOps: number;
   readonly valueKb: number;
@@ -37,6 +49,7 @@
   readonly gathered: boolean;
   /** Whether tasks that go back to waiting may be noted: soon, since they are to be placed again. */
   readonly prompt: boolean;
+  readonly steps?: StepSettler | undefined;
 }
 
 /** Jobs of more tasks keep finish records of their own, lest each shared record lives as long as they do. */
@@ -130,7 +143,8 @@
   let placements = 0;
   const note = new Note(limits.valueKb * 1024 - 128);
   for (const part of partsOf(world, limits)) {
-    const piece = settleJob(world, part, limits.txnOps - 1 - changes.length, note, limits);
+    const room = limits.txnOps - 1 - changes.length - (limits.steps?.reserved ?? 0);
+    const piece = settleJob(world, part, room, note, limits);
     if (!piece) continue;
     conditions.push(...piece.conditions);
     changes.push(...piece.changes);
@@ -138,6 +152,11 @@
     jobs.push(part.job.id);
     placements += piece.placements;
   }
+  for (const piece of limits.steps?.pieces(limits.txnOps - 1 - changes.length) ?? []) {
+    conditions.push(...piece.conditions);
+    changes.push(...piece.changes);
+    applies.push(piece.apply);
+  }
   if (!note.empty) {
     changes.push({ op: 'put', key: limits.note, value: seal(noteOf(note.done, note.returned)) });
     applies.push(() => {
@@ -158,8 +177,6 @@
   };
 }
 
-type Piece = Omit<Settlement, 'jobs'>;
-
 function settleJob(
   world: World,
   part: JobPart,
@@ -173,7 +190,11 @@
   const allDone = job.done.count + newlyDone >= job.spec.tasks || gangCompleted(job, newlyDone);
   const empty = job.placements.size === all.length;
   const cancelled = job.cancelledAt !== undefined;
-  if (empty && (allDone || cancelled)) return room < 2 ? undefined : endJob(world, job, all, newlyDone);
+  if (empty && (allDone || cancelled)) {
+    if (room < 2 + (limits.steps?.extra(job) ?? 0)) return undefined;
+    limits.steps?.ended(job, cancelled ? 'cancelled' : 'done');
+    return endJob(world, job, all, newlyDone);
+  }
   if (cancelled) return undefined;
   const done = limits.gathered ? all.filter(isDone) : [];
   const returned = limits.prompt ? returnTasks(world, part, note) : undefined;
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -20,6 +20,7 @@
 } from '../bookkeeping/records.js';
 import type { Store } from '../bookkeeping/store.js';
 import type { Peers } from './peers.js';
+import type { HeldState, PipelineUsers } from './pipelines/users.js';
 import { fitsType } from './planner.js';
 import type { TypeBook } from './types.js';
 
@@ -34,6 +35,8 @@
   readonly settings: Settings;
   readonly teams: ReadonlyMap<TeamName, TeamLimits>;
   /** Counts for display, where this node knows better than the row. */
+  /** Steps of pipelines are jobs too, for their users; there only where pipelines are served. */
+  readonly steps?: Pick<PipelineUsers, 'epochCondition' | 'jobState' | 'cancelHeld'> | undefined;
   readonly counts: (id: JobId) => { done: number; running: number } | undefined;
 }
 
@@ -67,6 +70,12 @@
     return this.d.attention.since(this.d.store.lastContact) > 4000;
   }
 
+  /** Why nothing can be accepted just now. */
+  notReady(): string | undefined {
+    if (this.storeAway()) return 'the state service is not reachable';
+    return this.d.types.known() ? undefined : 'the machine types are not known yet';
+  }
+
   // ---- submit ---------------------------------------------------------------------------------------
 
   async submit(body: Uint8Array): Promise<Reply> {
@@ -76,9 +85,9 @@
     const spec = parsed.value;
     if (this.ended.has(spec.id)) return this.stateOf(spec.id);
     const known = d.mirror.get(spec.id);
-    if (known) return this.stateOf(spec.id);
-    if (this.storeAway()) return later('the state service is not reachable');
-    if (!d.types.known()) return later('the machine types are not known yet');
+    if (known || d.steps?.jobState(spec.id) !== undefined) return this.stateOf(spec.id);
+    const wait = this.notReady();
+    if (wait !== undefined) return later(wait);
     const never = this.neverRuns(spec);
     if (never !== undefined) {
       // A repeat of an accepted job must not be refused, whatever became of the types since.
@@ -103,7 +112,8 @@
     });
   }
 
-  private neverRuns(spec: JobSpec): string | undefined {
+  /** Why the job could never run, in the words that its user is refused with. */
+  neverRuns(spec: JobSpec): string | undefined {
     const team = this.d.teams.get(spec.team);
     if (!team) return `unknown team '${spec.team}'`;
     if (![...this.d.types.all().values()].some((t) => fitsType(spec, t))) {
@@ -140,10 +150,13 @@
   private async accept(batch: readonly Pending[]): Promise<void> {
     const { d } = this;
     const outcome = await d.store.txn(
-      batch.flatMap((p) => [
-        { key: Keys.job(p.spec.id), mark: NO_MARK },
-        { key: Keys.end(p.spec.id), mark: NO_MARK },
-      ]),
+      [
+        ...(d.steps ? [d.steps.epochCondition()] : []),
+        ...batch.flatMap((p) => [
+          { key: Keys.job(p.spec.id), mark: NO_MARK },
+          { key: Keys.end(p.spec.id), mark: NO_MARK },
+        ]),
+      ],
       batch.map((p) => ({ op: 'put', key: Keys.job(p.spec.id), value: p.sealed })),
       Rank.User,
     );
@@ -162,8 +175,15 @@
     }
     const failed = new Set<StoreKey>(outcome.value.failed);
     const again: Pending[] = [];
+    // A pipeline was accepted meanwhile, and may have taken an id of these.
+    const epoch = d.steps && failed.has(d.steps.epochCondition().key);
+    if (epoch && !(await d.mirror.sync())) {
+      for (const p of batch) p.answer(later('the state service did not answer'));
+      return;
+    }
     for (const p of batch) {
-      if (failed.has(Keys.job(p.spec.id)) || failed.has(Keys.end(p.spec.id))) {
+      const step = epoch && d.steps?.jobState(p.spec.id) !== undefined;
+      if (step || failed.has(Keys.job(p.spec.id)) || failed.has(Keys.end(p.spec.id))) {
         void this.stateOf(p.spec.id).then((reply) =>
           p.answer(reply.status === 404 ? later('the job is changing') : reply),
         );
@@ -186,7 +206,10 @@
     // From the store, so that no answer is older than one that any node gave.
     if (!(await this.d.mirror.sync())) return later('the state service did not answer');
     const found = this.d.mirror.get(id);
-    if (found) return this.rowReply(id, found);
+    const step = this.d.steps?.jobState(id);
+    if (found) return this.rowReply(id, found, step);
+    if (step === 'pending') return later('its pipeline is being accepted');
+    if (step) return { status: 200, body: encodeJobAnswer({ id, ...step, running: 0 }) };
     const end = await this.readEnd(id);
     if (end === 'unreachable') return later('the state service did not answer');
     return end ? this.endReply(id, end) : refuse(404, 'no such job');
@@ -214,10 +237,12 @@
     return { status: 200, body: encodeJobAnswer(answer) };
   }
 
-  private rowReply(id: JobId, found: MirroredRow): Reply {
+  private rowReply(id: JobId, found: MirroredRow, step: HeldState): Reply {
     const { row } = found;
     const counts = this.d.counts(id) ?? { done: row.done, running: 0 };
-    const answer: JobAnswer = { id, state: row.state, ...counts };
+    // A pipeline is cancelled as a whole: the rows of its steps don't say so themselves.
+    const state = typeof step === 'object' && step.state === 'cancelled' ? 'cancelled' : row.state;
+    const answer: JobAnswer = { id, state, ...counts };
     return { status: 200, body: encodeJobAnswer(answer) };
   }
 
@@ -237,11 +262,16 @@
       if (this.storeAway() || !(await d.mirror.sync())) return later('the state service did not answer');
       const found = d.mirror.get(job);
       if (!found) {
+        const held = await d.steps?.cancelHeld(job);
+        if (held) return held;
+        // Released meanwhile: its row says more.
+        if (d.steps?.jobState(job) !== undefined && d.mirror.get(job)) continue;
         const end = await this.readEnd(job);
         if (end === 'unreachable') return later('the state service did not answer');
         return end ? asState(end.state) : refuse(404, 'no such job');
       }
-      if (found.row.state === 'cancelled') {
+      const step = d.steps?.jobState(job);
+      if (found.row.state === 'cancelled' || (typeof step === 'object' && step.state === 'cancelled')) {
         d.peers.noteCancelled(job);
         return asState('cancelled');
       }
--- a/src/main.ts
+++ b/src/main.ts
@@ -50,6 +50,10 @@
     log,
     metrics,
     http: netHttpClient(32, CONTENT_TYPE),
+    pipelines:
+      operator.pipelines > 0
+        ? (await import('./coordination/pipelines/index.js')).createPipelines
+        : undefined,
     mesh: netMesh(settings.meshListen, peers, systemClock),
     incarnation,
   });
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -17,6 +17,10 @@
   readonly silentFenceS: number;
   readonly holderShare: number;
   readonly keepStanding: number;
+  readonly pipelines: number;
+  readonly pipelineSteps: number;
+  readonly pipelinesPerTeam: number;
+  readonly heldSteps: number;
 }
 
 interface Knob {
@@ -77,6 +81,34 @@
     max: 1,
     meaning: 'keep machines that stood before the service first ran (1) or return them when idle (0)',
   },
+  pipelines: {
+    field: 'pipelines',
+    fallback: 0,
+    min: 0,
+    max: 1,
+    meaning: 'serve pipelines (1) or not (0); all controllers alike',
+  },
+  'pipeline-steps': {
+    field: 'pipelineSteps',
+    fallback: 1000,
+    min: 1,
+    max: 5000,
+    meaning: 'most steps of one pipeline',
+  },
+  'pipelines-per-team': {
+    field: 'pipelinesPerTeam',
+    fallback: 200,
+    min: 1,
+    max: 100_000,
+    meaning: 'most live pipelines of one team',
+  },
+  'held-steps': {
+    field: 'heldSteps',
+    fallback: 20_000,
+    min: 1,
+    max: 1_000_000,
+    meaning: 'most held steps of all pipelines together',
+  },
   'holder-share': {
     field: 'holderShare',
     fallback: 0.85,
--- a/src/protocol/wire.ts
+++ b/src/protocol/wire.ts
@@ -163,8 +163,9 @@
   all: '/v1/pipelines',
   check: '/v1/pipelines/check',
   one: '/v1/pipelines/:id',
+  from: '/v1/pipelines/:id/from/:from',
   cancel: '/v1/pipelines/:id/abort',
-  retry: '/v1/pipelines/:id/retry',
+  retry: '/v1/pipelines/:id/retry/:job',
 } as const;
 
 export const CONTENT_TYPE = 'application/cbor';
--- a/test/standin/clock.ts
+++ b/test/standin/clock.ts
@@ -7,6 +7,9 @@
 }
 
 /** Virtual time: events in order of time and making; between two, everything awaited is let through. */
+/** The time of day when virtual time begins. */
+export const WALL_0 = 1_700_000_000_000;
+
 export class World {
   now = 0;
   private order = 0;
@@ -94,7 +97,7 @@
   }
 
   wall(): WallMs {
-    return (1_700_000_000_000 + this.world.now + this.wallOffMs) as WallMs;
+    return (WALL_0 + this.world.now + this.wallOffMs) as WallMs;
   }
 
   after(ms: number, run: () => void): Timer {
--- a/test/standin/rules.ts
+++ b/test/standin/rules.ts
@@ -42,11 +42,23 @@
     this.jobs.set(spec.id, spec);
   }
 
+  /** Jobs that must be complete before any task of this one starts. */
+  readonly needs = new Map<string, readonly string[]>();
+
+  private checkNeeds(job: string): void {
+    for (const need of this.needs.get(job) ?? []) {
+      const tasks = this.jobs.get(need)?.tasks ?? 0;
+      if ((this.doneTasks.get(need)?.size ?? 0) < tasks)
+        this.breach('too_early', `${job} started before ${need} was done`);
+    }
+  }
+
   started(job: string, index: number, place: Place): void {
     this.starts++;
     const spec = this.jobs.get(job);
     const name = `${job}/${index}`;
     if (!spec) return this.breach('wrong_place', `${name} has no job`);
+    this.checkNeeds(job);
     const mine: OnMachine[] = [];
     for (const o of this.on.values()) {
       if (o.job !== job) continue;
--- a/test/standin/scenario.ts
+++ b/test/standin/scenario.ts
@@ -1,7 +1,10 @@
 import type { MachineType } from '../../src/protocol/cloud.js';
-import type { ImageName, JobId, TeamName, TypeName, ZoneName } from '../../src/protocol/ids.js';
+import type { ImageName, JobId, PipelineId, TeamName, TypeName, ZoneName } from '../../src/protocol/ids.js';
 import type { JobSpec } from '../../src/protocol/jobs.js';
+import type { PipelineSpec } from '../../src/protocol/pipelines.js';
+import type { WallMs } from '../../src/transport/clock.js';
 import type { TeamLimits } from '../../src/protocol/settings.js';
+import { WALL_0 } from './clock.js';
 import type { CutMode } from './net.js';
 import type { TxnFault } from './store.js';
 import { machineType, team, Universe, type Tally } from './universe.js';
@@ -21,6 +24,14 @@
  *     on plan/ 1 crash-after        (the nth transaction that touches the prefix)
  *     at 9 hook plan/ 1 hold 20     (the same, counted from then on)
  *     expect req-000001 done by 30
+ *
+ * Pipelines (with `set pipelines=1`): steps are declared, then the pipeline is sent.
+ *
+ *     step build compile req-000001 red array tasks=2 run=3 [needs=a,b*] [always] [retries=2] [backoff=1]
+ *     steps 20 build part req-000100 red array needs=compile     (part-0 to part-19)
+ *     at 2 pipeline build [start=30] [late=5] [skip] [withdraw]
+ *     at 9 cancel-pipeline build | at 9 retry build compile | at 4 hook job/pipe 2 crash-after
+ *     expect build done by 40 | expect build state ended | expect build status 409
  */
 interface Expectation {
   readonly words: readonly string[];
@@ -69,7 +80,47 @@
   };
 }
 
+interface StepLine {
+  readonly pipeline: string;
+  readonly name: string;
+  readonly words: readonly string[];
+}
+
+/** The declared steps of a pipeline as its user would send them; a star after a need stands for all that begin so. */
+function pipelineOf(
+  id: string,
+  lines: readonly StepLine[],
+  words: readonly string[],
+  wallMs: number,
+): PipelineSpec {
+  const mine = lines.filter((l) => l.pipeline === id);
+  const o = options(words);
+  return {
+    id: id as PipelineId,
+    steps: mine.map((l) => {
+      const so = options(l.words.slice(3));
+      const wanted = so.get('needs')?.split(',') ?? [];
+      const matches = (name: string): boolean =>
+        wanted.some((w) => (w.endsWith('*') ? name.startsWith(w.slice(0, -1)) : w === name));
+      return {
+        name: l.name,
+        job: specOf(l.words).spec,
+        needs: mine.flatMap((m, i) => (matches(m.name) ? [i] : [])),
+        when: so.has('always') ? ('always' as const) : ('succeeded' as const),
+        retries: so.has('retries') ? num(so, 'retries', 0) : null,
+        backoffS: num(so, 'backoff', 1),
+        dueMs: null,
+      };
+    }),
+    startMs: o.has('start') ? ((wallMs + num(o, 'start', 0) * 1000) as WallMs) : null,
+    missed: o.has('skip') ? 'skip' : 'run',
+    lateS: num(o, 'late', 3600),
+    onCancel: o.has('withdraw') ? 'withdraw' : 'hold',
+  };
+}
+
 interface Parsed {
+  steps: StepLine[];
   zones: string[];
   types: string[][];
   machines: string[][];
@@ -83,6 +134,7 @@
 
 function parseScenario(text: string): Parsed {
   const p: Parsed = {
+    steps: [],
     zones: ['a', 'b', 'c'],
     types: [],
     machines: [],
@@ -103,7 +155,14 @@
     else if (verb === 'machines') {
       for (let i = 0; i < Number(words[0]); i++) p.machines.push(words.slice(1));
     } else if (verb === 'team') p.teams.push(team(words[0]!, Number(words[1]), Number(words[2])));
-    else if (verb === 'set') for (const [k, v] of options(words)) p.set.set(k, v);
+    else if (verb === 'step') p.steps.push({ pipeline: words[0]!, name: words[1]!, words: words.slice(2) });
+    else if (verb === 'steps') {
+      const [n, pipeline, name, id, ...rest] = words as [string, string, string, string, ...string[]];
+      for (let i = 0; i < Number(n); i++) {
+        const job = `req-${String(Number(id.slice(4)) + i).padStart(6, '0')}`;
+        p.steps.push({ pipeline, name: `${name}-${i}`, words: [job, ...rest] });
+      }
+    } else if (verb === 'set') for (const [k, v] of options(words)) p.set.set(k, v);
     else if (verb === 'at') p.acts.push({ at: Number(words[0]), words: words.slice(1) });
     else if (verb === 'on') p.hooks.push(words);
     else if (verb === 'expect') p.expects.push({ words, line });
@@ -151,6 +210,23 @@
   return name.startsWith('req-') ? u.rules.machinesOf(name).slice(0, 1) : [name];
 }
 
+/** What is said of pipelines; false where it is something else. */
+function actOnPipeline(u: Universe, words: readonly string[], p: Parsed): boolean {
+  const [verb, id, ...rest] = words as [string, string, ...string[]];
+  if (verb === 'pipeline') {
+    const line = new Map(p.steps.map((l) => [l.words[0]!, specOf(l.words)]));
+    void u.submitPipeline(pipelineOf(id, p.steps, rest, WALL_0 + u.world.now), (job) => line.get(job)!);
+  } else if (verb === 'cancel-pipeline') void u.cancelPipeline(pipelineOf(id, p.steps, [], 0));
+  else if (verb === 'retry') {
+    // What was wrong with it is mended.
+    const job = p.steps.find((l) => l.pipeline === id && l.name === rest[0])!.words[0]!;
+    const run = u.jobs.get(job);
+    if (run) u.jobs.set(job, { ...run, faulty: false });
+    void u.retryStep(id, rest[0]!);
+  } else return false;
+  return true;
+}
+
 function act(u: Universe, words: readonly string[]): void {
   const [verb, ...w] = words as [string, ...string[]];
   const later = (s: string | undefined, run: () => void): void =>
@@ -273,6 +349,15 @@
         u.rules.broken.push(`expected ${w[0]} starts by ${u.world.now / 1000} s, found ${u.rules.starts}`);
       return;
     }
+    case 'expect-starts-most': {
+      if (u.rules.starts > Number(w[0]))
+        u.rules.broken.push(
+          `expected ${w[0]} starts at most by ${u.world.now / 1000} s, found ${u.rules.starts}`,
+        );
+      return;
+    }
+    case 'expect-cancel-asked': // Its pipeline's file asked for it.
+      return u.rules.cancelAsking(w[0]!);
     case 'expect-off': {
       const running = u.rules.running(w[0]!);
       if (running > 0)
@@ -321,6 +406,18 @@
     const n = u.cloud.live().length;
     return n <= Number(third) ? undefined : `${n} machines are left`;
   }
+  if (verb === 'state') {
+    const state = u.pipelineStates.get(subject);
+    return state === third ? undefined : `${subject} was last ${state ?? 'unknown'}`;
+  }
+  if (verb === 'done' && u.pipelineStatuses.has(subject)) {
+    const state = u.pipelineStates.get(subject);
+    const at = u.toldAt.get(subject);
+    if (state !== 'done' || at === undefined) return `${subject} was last ${state ?? 'unknown'}`;
+    return third === 'by' && at > Number(bound)
+      ? `${subject} was done only at ${at.toFixed(1)} s`
+      : undefined;
+  }
   if (verb === 'done' || verb === 'cancelled') {
     const told = u.rules.stateTold(subject);
     if (told !== verb) return `${subject} was told as ${told ?? 'unfinished'}`;
@@ -334,7 +431,7 @@
     return n === Number(third) ? undefined : `${n} tasks of ${subject} run`;
   }
   if (verb === 'status') {
-    const s = u.statuses.get(subject);
+    const s = u.pipelineStatuses.get(subject) ?? u.statuses.get(subject);
     return s === Number(third) ? undefined : `${subject} got ${s ?? 'no answer'}`;
   }
   throw new Error(`scenario: unknown expectation '${e.line}'`);
@@ -369,6 +466,11 @@
     capacity: set('capacity', 8),
     rps: set('rps', 150),
     writeRps: set('writes', 50),
+    operator: {
+      pipelines: set('pipelines', 0),
+      pipelinesPerTeam: set('per-team', 200),
+      heldSteps: set('held', 20_000),
+    },
   });
   prepare(u);
   for (const [type, zone, kind] of p.machines) u.cloud.create(type!, zone!, kind === 'spot', true);
@@ -376,7 +478,11 @@
     u.store.hooks.push({ prefix: words[0]!, nth: Number(words[1]), fault: fault(words.slice(2)) });
   }
   for (const n of u.nodes) u.world.after(u.random.next() * 200, () => u.boot(n.member));
-  for (const a of p.acts) u.world.after(a.at * 1000, () => act(u, a.words));
+  for (const a of p.acts) {
+    u.world.after(a.at * 1000, () => {
+      if (!actOnPipeline(u, a.words, p)) act(u, a.words);
+    });
+  }
   await u.run(p.until);
   u.rules.atEnd();
   const failures = [...u.rules.broken];
--- a/test/standin/universe.ts
+++ b/test/standin/universe.ts
@@ -2,10 +2,17 @@
 import { decodeAs } from '../../src/protocol/codec.js';
 import type { MachineType } from '../../src/protocol/cloud.js';
 import type { Address, MemberName, TeamName, TypeName, ZoneName } from '../../src/protocol/ids.js';
+import {
+  encodePipeline,
+  pipelineAnswer,
+  type PipelineAnswer,
+  type PipelineSpec,
+} from '../../src/protocol/pipelines.js';
+import { createPipelines } from '../../src/coordination/pipelines/index.js';
 import { encodeError, encodeSubmission, jobAnswer, type JobSpec } from '../../src/protocol/jobs.js';
 import { defaultOperator, type Operator } from '../../src/protocol/operator.js';
 import type { Settings, TeamLimits } from '../../src/protocol/settings.js';
-import { Paths } from '../../src/protocol/wire.js';
+import { Paths, PipelinePaths } from '../../src/protocol/wire.js';
 import type { HttpClient, Reply, Route } from '../../src/transport/http.js';
 import { silentLog, type Log } from '../../src/transport/log.js';
 import { Metrics } from '../../src/transport/metrics.js';
@@ -153,6 +160,7 @@
     const controller = new Controller({
       settings: this.settings(member),
       operator: { ...defaultOperator(), ...this.o.operator },
+      pipelines: this.o.operator?.pipelines ? createPipelines : undefined,
       clock,
       random: seededRandom(this.o.seed * 31 + life * 7 + Number(member.slice(1))),
       log: this.log(member),
@@ -223,6 +231,101 @@
     return status;
   }
 
+  // ---- pipelines --------------------------------------------------------------------------------------
+
+  readonly pipelineStates = new Map<string, string>();
+  readonly pipelineStatuses = new Map<string, number>();
+
+  /** Sends a pipeline as its user would, to any node, until one gives an answer that counts; then its steps are polled. */
+  async submitPipeline(
+    spec: PipelineSpec,
+    runS: (job: string) => { runS: number; faulty: boolean },
+  ): Promise<void> {
+    for (const s of spec.steps) {
+      this.rules.submitted(s.job);
+      this.jobs.set(s.job.id, { spec: s.job, ...runS(s.job.id), saved: 0 });
+      if (s.when === 'succeeded' && !this.rules.needs.has(s.job.id))
+        this.rules.needs.set(
+          s.job.id,
+          s.needs.map((n) => spec.steps[n]!.job.id),
+        );
+    }
+    const body = encodePipeline(spec);
+    const until = this.world.now + 120_000;
+    for (;;) {
+      const reply = await this.user.call(`${this.anyNode()}:80`, 'POST', PipelinePaths.all, body, 5000);
+      const status = reply.ok ? reply.value.status : undefined;
+      if (status !== undefined) this.pipelineStatuses.set(spec.id, status);
+      if (status === 200 || status === 201) break;
+      if (status === 400 || status === 409 || status === 422 || this.world.now > until) return;
+      await this.world.sleep(1000);
+    }
+    for (const s of spec.steps) this.rules.answered(s.job.id, 201, 'queued', 'submit');
+    if (spec.steps.length <= 40) for (const s of spec.steps) void this.poll(s.job.id);
+    void this.watchPipeline(spec);
+  }
+
+  private async watchPipeline(spec: PipelineSpec): Promise<void> {
+    for (;;) {
+      await this.world.sleep(1500 + this.random.next() * 1000);
+      const path = PipelinePaths.one.replace(':id', spec.id);
+      const asked = this.world.now;
+      const reply = await this.user.call(`${this.anyNode()}:80`, 'GET', path, undefined, 2000);
+      if (!reply.ok || reply.value.status !== 200) {
+        if (reply.ok && reply.value.status === 404)
+          this.rules.broken.push(`forgotten: pipeline ${spec.id} got 404`);
+        continue;
+      }
+      const answer = decodeAs(pipelineAnswer, reply.value.body);
+      if (!answer.ok) throw new Error(answer.error);
+      this.heardOf(answer.value, asked);
+      if (answer.value.state !== 'held' && answer.value.state !== 'running') {
+        if (answer.value.list.length === 0) {
+          this.toldAt.set(spec.id, this.world.now / 1000);
+          if (answer.value.state === 'done') {
+            for (const s of spec.steps) this.rules.answered(s.job.id, 200, 'done', 'poll', asked);
+          }
+          return;
+        }
+      }
+    }
+  }
+
+  /** What the answer says of each step is held to the rules like any other answer about a job. */
+  private heardOf(answer: PipelineAnswer, asked: number): void {
+    this.pipelineStates.set(answer.id, answer.state);
+    for (const s of answer.list) {
+      if (s.state === 'done' || s.state === 'cancelled')
+        this.rules.answered(s.job, 200, s.state, 'poll', asked);
+    }
+  }
+
+  async cancelPipeline(spec: PipelineSpec): Promise<void> {
+    for (const s of spec.steps) this.rules.cancelAsking(s.job.id);
+    for (let i = 0; i < 60; i++) {
+      const path = PipelinePaths.cancel.replace(':id', spec.id);
+      const asked = this.world.now;
+      const reply = await this.user.call(`${this.anyNode()}:80`, 'POST', path, undefined, 5000);
+      if (reply.ok && reply.value.status === 200) {
+        const answer = decodeAs(pipelineAnswer, reply.value.body);
+        if (answer.ok) this.heardOf(answer.value, asked);
+        return;
+      }
+      await this.world.sleep(1000);
+    }
+  }
+
+  async retryStep(id: string, step: string): Promise<void> {
+    for (let i = 0; i < 60; i++) {
+      const path = PipelinePaths.retry.replace(':id', id).replace(':job', step);
+      const reply = await this.user.call(`${this.anyNode()}:80`, 'POST', path, undefined, 5000);
+      if (reply.ok && reply.value.status < 500) return;
+      await this.world.sleep(1000);
+    }
+  }
+
+  // ---- jobs -------------------------------------------------------------------------------------------
+
   async submit(spec: JobSpec, runS: number, faulty: boolean): Promise<void> {
     this.rules.submitted(spec);
     this.jobs.set(spec.id, { spec, runS, faulty, saved: 0 });
