--- a/src/commands.ts
+++ b/src/commands.ts
@@ -1,6 +1,7 @@
 import { Command, CommanderError } from 'commander';
 import type { Result } from './transport/result.js';
 import { cancelJob, explainRemote, showJob, submitJob } from './coordination/client.js';
+import { OPS } from './coordination/controller.js';
 import { EXIT, fail, loadAll, read } from './files.js';
 
 const VERSION = '0.1.0';
@@ -57,6 +58,12 @@
     .option(...at)
     .action((id: string, o: { at: string }) => explainRemote(o.at, id).then(report));
 
+  // The parsers of files and requests are loaded where they are asked for.
+  if (['pipeline', 'prompt', 'help', '--help', '-h'].includes(process.argv[2] ?? '')) {
+    const { pipelineCommands } = await import('./pipelines/index.js');
+    pipelineCommands(program, { read, fail, exit: EXIT, explain: explainRemote, namesPath: OPS.names });
+  }
+
   try {
     await program.parseAsync();
   } catch (e) {
