--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -69,11 +69,13 @@
       req.on('response', (res) => {
         const chunks: Uint8Array[] = [];
         res.on('data', (c: Uint8Array) => chunks.push(c));
+        const after = res.headers['retry-after'];
         res.on('end', () =>
           finish(
             ok({
               status: res.statusCode ?? 0,
               body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
+              ...(after === undefined ? {} : { headers: { 'retry-after': after } }),
             }),
           ),
         );
