The holder is divided along its loops: rounds, orders, settling, collecting, stamping, hearing, the fenced writer

Change: moved as it was, each loop to a file of its own behind one small scope (term, world, live, wake); the holder only starts and stops them. Behaviour unchanged.

--- /dev/null
+++ b/src/coordination/collecting.ts
@@ -0,0 +1,108 @@
+import { Rank } from '../transport/budget.js';
+import { sleep, type SteadyMs } from '../transport/clock.js';
+import type { MachineId } from '../protocol/ids.js';
+import type { Change } from '../protocol/state.js';
+import { Keys, seal, type ImageNote, type Sealed } from '../bookkeeping/records.js';
+import type { Machine, World } from '../bookkeeping/world.js';
+import type { FencedWriter } from './fenced-writer.js';
+import type { Scope } from './scope.js';
+
+/** Image notes are worth a handful of changes this often. */
+const IMAGES_MS = 20_000;
+
+/** The loop that removes what nothing needs any more, and notes down hints, whenever nobody else wants to write. */
+export class Collecting {
+  constructor(
+    private readonly s: Scope,
+    private readonly writer: FencedWriter,
+  ) {}
+
+  async run(): Promise<void> {
+    const { d } = this.s;
+    let behind = false;
+    while (this.s.live()) {
+      // The lowest rank: what it takes is only what nobody else wants.
+      await sleep(d.clock, behind ? 200 : 1000);
+      const { world } = this.s;
+      if (!world || !this.s.live() || !d.term.canDecide()) continue;
+      for (const plan of world.plans.values()) {
+        if (plan.open <= 0) world.dropPlan(plan, [Keys.plan(plan.id), Keys.receipt(plan.id)]);
+      }
+      await this.keepImages(world);
+      await this.dropLeftover();
+      const keys = [...world.garbage].slice(0, d.settings.store.txnOps);
+      behind = world.garbage.size > 2 * keys.length;
+      if (keys.length === 0) continue;
+      const outcome = await this.writer.write(
+        [],
+        keys.map((key) => ({ op: 'delete', key })),
+        Rank.Garbage,
+      );
+      // Removing twice does no harm, so a lost answer needs no more than another try.
+      if (outcome.ok && outcome.value.kind === 'committed') for (const key of keys) world.garbage.delete(key);
+    }
+  }
+
+  private async dropLeftover(): Promise<void> {
+    const { d } = this.s;
+    const left = d.pipelines?.leftover(d.settings.store.txnOps);
+    if (!left) return;
+    const outcome = await this.writer.write(left.conditions, left.changes, Rank.Garbage);
+    if (outcome.ok && outcome.value.kind === 'committed')
+      d.log.info('acceptance-collected', { pipeline: left.what });
+    else if (outcome.ok) await d.mirror.sync();
+  }
+
+  private imagesAt = 0 as SteadyMs;
+
+  /**
+   * Which images are where is written down now and then, many machines in one record: a successor that had to
+   * guess would send every start to a cold machine. Only a hint, so nothing is lost when it is old or left out.
+   */
+  private async keepImages(world: World): Promise<void> {
+    const { d } = this.s;
+    const now = d.clock.now();
+    if (!world.imagesChanged || now - this.imagesAt < IMAGES_MS) return;
+    this.imagesAt = now;
+    world.imagesChanged = false;
+    const records = imageRecords(world.machines.values(), d.settings.store.valueKb);
+    const changes: Change[] = records
+      .slice(0, d.settings.store.txnOps)
+      .map((value, i) => ({ op: 'put', key: Keys.images(i), value }));
+    if (changes.length > 0) await this.writer.write([], changes, Rank.Garbage);
+  }
+}
+
+/** The machines of each image, packed into as few records as hold them. */
+export function imageRecords(machines: Iterable<Machine>, valueKb: number): Sealed[] {
+  const byImage = new Map<string, { gb: number; on: MachineId[] }>();
+  for (const m of machines) {
+    for (const [name, gb] of m.images) {
+      const entry = byImage.get(name);
+      if (entry) entry.on.push(m.id);
+      else byImage.set(name, { gb, on: [m.id] });
+    }
+  }
+  const out: Sealed[] = [];
+  let part: ImageNote[] = [];
+  let size = 0;
+  const limit = valueKb * 1024 - 256;
+  const close = (): void => {
+    if (part.length > 0) out.push(seal({ images: part }));
+    part = [];
+    size = 0;
+  };
+  for (const [name, { gb, on }] of byImage) {
+    for (let i = 0; i < on.length;) {
+      const head = name.length + 40;
+      if (size + head + 32 > limit) close();
+      const each = on[i]!.length + 3;
+      const n = Math.max(1, Math.min(on.length - i, Math.floor((limit - size - head) / each)));
+      part.push({ name, gb, on: on.slice(i, i + n) });
+      size += head + n * each;
+      i += n;
+    }
+  }
+  close();
+  return out;
+}
--- a/src/coordination/command.ts
+++ b/src/coordination/command.ts
@@ -4,6 +4,7 @@
 import type { Command, Report, ReportedTask } from '../protocol/workers.js';
 import type { Estimates } from '../bookkeeping/estimates.js';
 import type { Machine, Placement, World } from '../bookkeeping/world.js';
+import type { Scope } from './scope.js';
 
 export interface CommandContext {
   readonly world: World;
@@ -17,6 +18,20 @@
   readonly wake: () => void;
 }
 
+export const commandContext = (s: Scope, world: World): CommandContext => {
+  const { d } = s;
+  return {
+    world,
+    clock: d.clock,
+    log: d.log,
+    estimates: s.estimates,
+    metrics: d.metrics,
+    cacheGb: (m) => d.types.all().get(m.type)?.cacheGb ?? Infinity,
+    mayStart: () => d.term.canDecide(),
+    wake: () => s.wake(),
+  };
+};
+
 const NOTHING: readonly Command[] = [];
 
 /** Reports that say the same of a task say it with the same object: their reader sees to that. */
--- /dev/null
+++ b/src/coordination/hearing.ts
@@ -0,0 +1,57 @@
+import type { SteadyMs } from '../transport/clock.js';
+import type { ZoneName } from '../protocol/ids.js';
+import type { Scope } from './scope.js';
+
+/** Who is heard: single machines are the fleet's to judge, zones and everybody together are judged here. */
+export class Hearing {
+  private heardAt: SteadyMs;
+
+  constructor(private readonly s: Scope) {
+    // Workers need a moment to find a new holder.
+    this.heardAt = (s.d.clock.now() + 1250 * s.d.settings.workers.reportS) as SteadyMs;
+  }
+
+  heard(zone: ZoneName): void {
+    this.heardAt = this.s.d.clock.now();
+    this.zoneHeard.set(zone, this.heardAt);
+  }
+
+  private readonly zoneHeard = new Map<ZoneName, SteadyMs>();
+
+  /** When any worker of each zone was last heard, for whoever holds the term after this one. */
+  get zonesHeard(): ReadonlyMap<ZoneName, SteadyMs> {
+    return this.zoneHeard;
+  }
+
+  /**
+   * Zones with many machines from which nothing has come for many times their usual gap: likely cut off, known
+   * long before any one machine is late. Nothing new goes there, and no direct start that might float.
+   */
+  quietZones(): ReadonlySet<ZoneName> {
+    const up = new Map<ZoneName, number>();
+    for (const m of this.s.world?.machines.values() ?? []) {
+      if (m.state === 'up' && m.lastReport !== undefined) up.set(m.zone, (up.get(m.zone) ?? 0) + 1);
+    }
+    const quiet = new Set<ZoneName>();
+    for (const [zone, n] of up) {
+      if (n < 5) continue;
+      const gapMs = (this.s.d.settings.workers.reportS * 1000) / n;
+      const silentMs = this.s.d.attention.since(this.zoneHeard.get(zone) ?? (0 as SteadyMs));
+      if (silentMs > Math.max(1000, 15 * gapMs)) quiet.add(zone);
+    }
+    return quiet;
+  }
+
+  /**
+   * A holder that no worker reaches any more, while it holds the store, would let every lease run out: another
+   * node may be reached. Judged by all machines together, in far less time than a lease.
+   */
+  isDeaf(): boolean {
+    const { reportS, leaseS } = this.s.d.settings.workers;
+    let up = 0;
+    for (const m of this.s.world?.machines.values() ?? []) if (m.state === 'up') up++;
+    if (up < 2) return false;
+    const windowMs = Math.min(leaseS * 400, Math.max(2500, (12_000 * reportS) / up));
+    return this.s.d.attention.since(this.heardAt) > windowMs;
+  }
+}
--- /dev/null
+++ b/src/coordination/orders.ts
@@ -0,0 +1,92 @@
+import type { Address, ZoneName } from '../protocol/ids.js';
+import { Paths } from '../protocol/wire.js';
+import { encodeCommands, type Command } from '../protocol/workers.js';
+import type { Machine, Placement, World } from '../bookkeeping/world.js';
+import { commandContext, handleOrderReply } from './command.js';
+import type { Scope } from './scope.js';
+
+/** How long the worker may take over a direct command; its answer usually takes milliseconds. */
+export const ORDER_MS = 1500;
+
+/** Commands that go straight to a worker's own address. */
+export class Orders {
+  /** Zones that have fallen silent: a start sent there would be left without an answer. */
+  quiet: ReadonlySet<ZoneName> = new Set();
+
+  constructor(private readonly s: Scope) {}
+
+  /**
+   * Starts and stops that needn't wait for the next report go to the worker's own address. They may be
+   * executed minutes late, so a start whose answer is lost makes the term rise: the worker then obeys a
+   * higher token, and what is still on its way is dropped.
+   */
+  send(machine: Machine, starts: readonly Placement[], stops: readonly Placement[]): void {
+    const { d, world, held } = this.s;
+    const { address, lastReport, session } = machine;
+    if (!world || address === undefined || lastReport === undefined || !machine.trusted) return;
+    // A machine that is late with its report is likely to leave the answer open.
+    const lively = d.attention.since(lastReport) < d.settings.workers.reportS * 1500;
+    if (!lively || this.quiet.has(machine.zone) || !d.term.canDecide() || machine.state !== 'up') return;
+    const usable = starts.filter(
+      (p) => !p.ended && !p.stop && p.session === session && p.sentSeq === undefined,
+    );
+    if (usable.length === 0 && stops.length === 0) return;
+    const name = (p: Placement) => ({ job: p.job.id, index: p.index, attempt: p.attempt });
+    const commands: Command[] = [
+      ...stops.map((p): Command => ({ op: 'stop', ...name(p), graceS: p.stop?.graceS ?? 0 })),
+      ...usable.map((p): Command => ({ op: 'start', ...name(p) })),
+    ];
+    for (const p of usable) {
+      p.order = 'flying';
+      p.orderTerm = held.term;
+    }
+    void this.sendOrder(world, machine, address, usable, encodeCommands(held.term, commands, session));
+  }
+
+  /** Stops that no worker was told yet. A late stop only ever meets the attempt it was meant for. */
+  sendStops(world: World): void {
+    const byMachine = new Map<Machine, Placement[]>();
+    for (const p of world.stopping) {
+      if (!p.seen) continue;
+      world.stopping.delete(p);
+      if (!p.stop || p.ended) continue;
+      p.stop.ordered = true;
+      const list = byMachine.get(p.machine);
+      if (list) list.push(p);
+      else byMachine.set(p.machine, [p]);
+    }
+    for (const [machine, stops] of byMachine) this.send(machine, [], stops);
+  }
+
+  private async sendOrder(
+    world: World,
+    machine: Machine,
+    address: Address,
+    starts: readonly Placement[],
+    body: Uint8Array,
+  ): Promise<void> {
+    const { d } = this.s;
+    const reply = await d.http.call(address, 'POST', Paths.orders, body, ORDER_MS);
+    if (!this.s.live()) return;
+    const status = reply.ok ? reply.value.status : 0;
+    const report =
+      reply.ok && status === 200 ? d.reader.read(reply.value.body ?? new Uint8Array()) : undefined;
+    // Only a whole report, a refusal by the worker, or a connection that never stood says what happened.
+    const clear =
+      report?.ok === true ||
+      status === 409 ||
+      status === 400 ||
+      (!reply.ok && reply.error.kind === 'refused');
+    if (!clear && starts.length > 0) {
+      // Possibly on its machine until that worker shows it, or obeys a higher token. Only this machine's
+      // work is held back by it, so the term need not rise at once.
+      for (const p of starts) if (p.order === 'flying' && !p.ended) world.float(p);
+      d.log.info('order-unanswered', { machine: machine.id, starts: starts.length, status });
+      return;
+    }
+    for (const p of starts) world.land(p);
+    if (report?.ok) handleOrderReply(commandContext(this.s, world), machine, report.value);
+    else if (starts.length > 0) d.log.info('order-refused', { machine: machine.id, status });
+    // What was stopped or ended meanwhile is dealt with at the next report.
+  }
+}
--- /dev/null
+++ b/src/coordination/scope.ts
@@ -0,0 +1,44 @@
+import type { Clock } from '../transport/clock.js';
+import type { Random } from '../transport/random.js';
+import type { Log } from '../transport/log.js';
+import type { Metrics } from '../transport/metrics.js';
+import type { Operator } from '../protocol/operator.js';
+import type { ReportReader } from '../protocol/report-reader.js';
+import type { Settings } from '../protocol/settings.js';
+import type { Estimates } from '../bookkeeping/estimates.js';
+import type { Mirror } from '../bookkeeping/mirror.js';
+import type { Store } from '../bookkeeping/store.js';
+import type { World } from '../bookkeeping/world.js';
+import type { FleetDeps } from './fleet.js';
+import type { Pipelines } from './pipelines/index.js';
+import type { HeldTerm, TermKeeper } from './term.js';
+import type { TypeBook } from './types.js';
+
+export interface HolderDeps extends Omit<FleetDeps, 'held'> {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly store: Store;
+  readonly mirror: Mirror;
+  readonly term: TermKeeper;
+  readonly types: TypeBook;
+  readonly settings: Settings;
+  readonly operator: Operator;
+  readonly metrics: Metrics;
+  readonly reader: ReportReader;
+  /** There only where pipelines are served. */
+  readonly pipelines?: Pipelines | undefined;
+}
+
+/** What the loops of one term share: the term they serve, what is known, and how to wake one another. */
+export interface Scope {
+  readonly d: HolderDeps;
+  readonly held: HeldTerm;
+  readonly estimates: Estimates;
+  /** Undefined until it is loaded. */
+  readonly world: World | undefined;
+  /** Whether this term still stands; every loop ends when it doesn't. */
+  live(): boolean;
+  /** Something changed that a round or a settlement may be due for. */
+  wake(): void;
+}
--- a/test/indexes.test.ts
+++ b/test/indexes.test.ts
@@ -4,7 +4,7 @@
 import { World as Book, waitingCount, type Machine, type Placement } from '../src/bookkeeping/world.js';
 import { Estimates } from '../src/bookkeeping/estimates.js';
 import { planFleet } from '../src/coordination/fleet-planner.js';
-import { roundGapMs } from '../src/coordination/holder.js';
+import { roundGapMs } from '../src/coordination/rounds.js';
 import { planRound, type Snapshot } from '../src/coordination/planner.js';
 import { roomFor, Rooms } from '../src/coordination/rooms.js';
 import { nextSettlement } from '../src/coordination/settle.js';
