--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -154,11 +154,13 @@
   readonly done: number;
   readonly acceptedAt: WallMs;
   readonly cancelledAt: WallMs | null;
+  /** Of an elastic job: how many tasks it is to run at the same time, as of this generation. */
+  readonly width?: number;
 }
 
 /** What rounds have claimed since the row was written counts on: a generation never falls. */
-export const withGeneration = (row: Row, least: number): Row =>
-  row.generation >= least ? row : { ...row, generation: least };
+export const withGeneration = (row: Row, least: number, width = row.width): Row =>
+  row.generation >= least ? row : { ...row, generation: least, ...(width === undefined ? {} : { width }) };
 
 const nullableText = z.string().nullable();
 const specSchema = z.object({
@@ -182,6 +184,10 @@
   checkpointS: z.number(),
   saveS: z.number(),
   deadlineS: z.number().nullable(),
+  elastic: z
+    .object({ least: z.number(), most: z.number(), giveBackS: z.number(), rentUpTo: z.number() })
+    .optional(),
+  headRoom: z.number().optional(),
 });
 
 export const rowSchema = z
@@ -194,6 +200,7 @@
     done: z.number(),
     acceptedAt: z.number(),
     cancelledAt: z.number().nullable(),
+    width: z.number().optional(),
   })
   .transform((w) => w as unknown as Row);
 
@@ -262,6 +269,8 @@
 export interface Claim {
   readonly job: JobId;
   readonly generation: number;
+  /** Of an elastic job: the width it is to have under this generation. */
+  readonly width?: number;
 }
 
 /**
@@ -279,7 +288,9 @@
     plan: z.string(),
     sum: z.string(),
     term: u64,
-    claims: z.array(z.object({ job: z.string(), generation: z.number() })).default([]),
+    claims: z
+      .array(z.object({ job: z.string(), generation: z.number(), width: z.number().optional() }))
+      .default([]),
   })
   .transform((w) => w as unknown as Receipt);
 
--- a/src/protocol/jobs.ts
+++ b/src/protocol/jobs.ts
@@ -24,8 +24,24 @@
   readonly checkpointS: number;
   readonly saveS: number;
   readonly deadlineS: number | null;
+  /** Grows into what is idle and gives it back; absent for a job of one width. */
+  readonly elastic?: Elastic;
+  /** Services: share of its own size that elastic work may fill, but that is given back before anything is rented. */
+  readonly headRoom?: number;
 }
 
+/** How wide an array may run, counted in tasks at the same time. */
+export interface Elastic {
+  readonly least: number;
+  readonly most: number;
+  /** How long giving back may take before it costs the machine, in seconds. */
+  readonly giveBackS: number;
+  /** Price of a card and hour up to which a machine may be kept rented for the width above the least; 0: none is. */
+  readonly rentUpTo: number;
+}
+
+export const DEFAULT_GIVE_BACK_S = 10;
+
 export const MAX_TASKS = 100_000;
 const RANKS: Readonly<Record<Priority, number>> = { production: 0, high: 1, normal: 2, low: 3 };
 /** 0 is the highest. */
@@ -65,6 +81,11 @@
   [F.checkpointS]: amount,
   [F.saveS]: amount,
   [F.deadlineS]: amount.nullish(),
+  [F.widthLeast]: z.number().int().min(0).max(MAX_TASKS).nullish(),
+  [F.widthMost]: z.number().int().min(1).max(MAX_TASKS).nullish(),
+  [F.giveBackS]: amount.min(1).max(3600).nullish(),
+  [F.rentUpTo]: amount.nullish(),
+  [F.headRoom]: z.number().min(0).max(10).nullish(),
 };
 
 const wireShape = z.object(shapeFields);
@@ -88,6 +109,7 @@
   checkpointS: w[F.checkpointS],
   saveS: w[F.saveS],
   deadlineS: w[F.deadlineS] ?? null,
+  ...elasticOf(w),
 });
 
 export const jobShape = wireShape.transform(shapeOf);
@@ -98,6 +120,32 @@
   .object({ [F.id]: jobId, ...shapeFields })
   .transform((w): JobSpec => ({ id: w[F.id] as JobId, ...shapeOf(w) }));
 
+function elasticOf(w: z.infer<typeof wireShape>): Pick<JobShape, 'elastic' | 'headRoom'> {
+  const most = w[F.widthMost];
+  const headRoom = w[F.headRoom];
+  return {
+    ...(most === null || most === undefined
+      ? {}
+      : {
+          elastic: {
+            least: Math.min(w[F.widthLeast] ?? 0, most),
+            most,
+            giveBackS: w[F.giveBackS] ?? DEFAULT_GIVE_BACK_S,
+            rentUpTo: w[F.rentUpTo] ?? 0,
+          },
+        }),
+    ...(headRoom ? { headRoom } : {}),
+  };
+}
+
+/** Why the added fields make no sense together; undefined where they do. */
+export function elasticFault(s: JobShape): string | undefined {
+  if (s.elastic && s.kind !== 'array')
+    return `${F.widthMost}: only arrays change their width; a gang runs whole or not at all`;
+  if (s.headRoom !== undefined && s.kind !== 'service') return `${F.headRoom}: only services have head room`;
+  return undefined;
+}
+
 export const wireOfShape = (s: JobShape): Record<string, unknown> => ({
   [F.class]: s.class,
   [F.team]: s.team,
@@ -118,6 +166,15 @@
   [F.checkpointS]: s.checkpointS,
   [F.saveS]: s.saveS,
   [F.deadlineS]: s.deadlineS,
+  ...(s.elastic
+    ? {
+        [F.widthLeast]: s.elastic.least,
+        [F.widthMost]: s.elastic.most,
+        [F.giveBackS]: s.elastic.giveBackS,
+        [F.rentUpTo]: s.elastic.rentUpTo,
+      }
+    : {}),
+  ...(s.headRoom === undefined ? {} : { [F.headRoom]: s.headRoom }),
 });
 
 /** The submission as a user would send it; the command line and the tests speak through this. */
--- a/src/protocol/wire.ts
+++ b/src/protocol/wire.ts
@@ -71,6 +71,12 @@
   waitMs: 'wait_ms',
   events: 'news',
   error: 'error',
+  // This project's own additions: receivers that don't know them ignore them.
+  widthLeast: 'width_least',
+  widthMost: 'width_most',
+  giveBackS: 'give_back_s',
+  rentUpTo: 'rent_up_to',
+  headRoom: 'head_room',
 } as const;
 
 export const Kinds = { array: 'array', gang: 'ensemble', service: 'daemon' } as const;
