--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -14,7 +14,7 @@
   type Use,
   type World,
 } from '../bookkeeping/world.js';
-import { keptWhole, roomFor, Rooms, type Need, type Room } from './rooms.js';
+import { roomFor, Rooms, type Need, type Room } from './rooms.js';
 
 /** What a round is planned from. The planner only reads it, and the same snapshot gives the same plan. */
 export interface Snapshot {
@@ -34,6 +34,8 @@
   readonly aims: StartAims;
   /** Jobs within their team's guarantee, where the caller knows them already. */
   readonly within?: ReadonlySet<JobId>;
+  /** Jobs come in a flood: work that could be stopped only at a loss leaves the room to what is still to come. */
+  readonly flood?: boolean;
   /** Zones that have fallen silent: nothing new goes there. */
   readonly quietZones?: ReadonlySet<ZoneName>;
 }
@@ -247,7 +249,7 @@
 }
 
 class RoundPlanner {
-  readonly rooms: Rooms;
+  readonly rooms = new Rooms();
   readonly tasks: PlannedTask[] = [];
   readonly stops: { placement: Placement; graceS: number; forJob: JobId }[] = [];
   readonly unplaced: Unplaced[] = [];
@@ -265,7 +267,6 @@
     { readonly room: Room; readonly spec: JobSpec; readonly inS: number; taken: boolean }[] | undefined;
 
   constructor(private readonly s: Snapshot) {
-    this.rooms = new Rooms(keptWhole(liveSpecs(s.world), s.types));
     this.use = teamUse(s.world);
     this.within = s.within ?? withinGuarantee(s.world.jobs.values(), s.teams);
     const due = new Map<Job, number>();
@@ -410,6 +411,8 @@
         this.makeRoom(job, rest);
         return put('no room', rest + kept);
       }
+      if (this.s.flood && spec.kind === 'array' && spec.checkpointS === 0)
+        return put('round full', rest + kept);
       if (!this.holdsImage(room.machine, job) && this.warmRoom(job, zones)) {
         kept++;
         continue;
@@ -475,6 +478,7 @@
     indices.forEach((index, k) => this.tasks.push({ job, index, machine: rooms[k]!.machine }));
     for (let k = 0; k < indices.length; k++) {
       if (job.spec.kind !== 'gang') this.occupy(rooms[k]!, job.spec, 1);
+      this.rooms.placed(rooms[k]!, job.spec);
     }
     this.charge(job.spec, indices.length);
   }
@@ -530,10 +534,7 @@
         Number(this.holdsImage(room.machine, job)),
         // Spread work is spread evenly, not just within its bound: a cut zone then takes the fewest replicas.
         spec.spread ? -(zones.get(room.machine.zone) ?? 0) : 0,
-        // Big machines stay whole for work that fits nothing else: small work that can't be stopped for it goes
-        // elsewhere, or where there is such work already, and work that makes way leaves the small ones to it.
-        -Number(room.pool.whole && this.rooms.spoils(room.type.name, spec)),
-        this.rooms.prefersBig(room.type.name, spec) ? 0 : -room.type.gpus - room.type.cpus / 1000,
+        -room.type.gpus - room.type.cpus / 1000,
         // Among holders of the image, services go where services are and all else to the fullest, so that
         // the emptier machines can empty and be returned.
         spec.kind === 'service' ? room.machine.used.services : 0,
@@ -740,12 +741,9 @@
     if (candidates.length === 0 && kinds !== undefined) this.vain.push({ kinds: key, need: spec });
     const warm = (c: Candidate): number => Number(this.holdsImage(c.room.machine, job));
     const beside = (c: Candidate): number => (spec.kind === 'service' ? c.room.machine.used.services : 0);
-    const spoils = (c: Candidate): number =>
-      Number(c.room.pool.whole && this.rooms.spoils(c.room.type.name, spec));
     candidates.sort(
       (a, b) =>
         Number(b.waiting) - Number(a.waiting) ||
-        spoils(a) - spoils(b) ||
         warm(b) - warm(a) ||
         beside(b) - beside(a) ||
         a.loss - b.loss,
@@ -872,8 +870,4 @@
   return 0;
 }
 
-function* liveSpecs(world: World): IterableIterator<JobSpec> {
-  for (const job of world.jobs.values()) if (job.cancelledAt === undefined) yield job.spec;
-}
-
 export const planRound = (snapshot: Snapshot): RoundPlan => new RoundPlanner(snapshot).run();
