--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -175,6 +175,7 @@
       settings,
       teams: this.teams,
       admit: () => this.accepts.tryTake(1),
+      elastic: operator.elastic > 0,
       counts: (id) => this.countsOf(id),
       steps: this.pipelines?.users,
     });
@@ -322,7 +323,8 @@
       id as JobId,
     );
     const step = this.pipelines?.explain(id as JobId) ?? [];
-    if (lines || step.length > 0) return json(200, { job: id, lines: [...step, ...(lines ?? [])] });
+    const width = holder.elastic?.explain(id as JobId) ?? [];
+    if (lines || step.length > 0) return json(200, { job: id, lines: [...step, ...(lines ?? []), ...width] });
     const state = await this.users.show(id);
     const text =
       state.status === 200
--- a/src/coordination/elastic/widths.ts
+++ b/src/coordination/elastic/widths.ts
@@ -62,12 +62,14 @@
     room -= given;
     if (given === 0) {
       // Less than a task's share for each: whole tasks, one by one, the heaviest first.
+      let some = false;
       for (const j of [...open].sort((a, b) => b.weight - a.weight || (a.id < b.id ? -1 : 1))) {
         if (room + 1e-9 < j.unit || widths.get(j.id)! >= most(j)) continue;
         widths.set(j.id, widths.get(j.id)! + 1);
         room -= j.unit;
+        some = true;
       }
-      break;
+      if (!some) break;
     }
     open = open.filter((j) => widths.get(j.id)! < most(j));
   }
@@ -87,7 +89,12 @@
 const SHRINK_AFTER_MS = 10_000;
 
 /** Hysteresis: what is pressed for is given at once, all else waits, and small growth isn't worth a change. */
-export function decide(before: Decided | undefined, wanted: number, pressed: boolean, nowMs: number): Decided {
+export function decide(
+  before: Decided | undefined,
+  wanted: number,
+  pressed: boolean,
+  nowMs: number,
+): Decided {
   if (!before) return { width: wanted, atMs: nowMs };
   if (wanted === before.width) return before;
   const since = nowMs - before.atMs;
--- a/src/coordination/explain.ts
+++ b/src/coordination/explain.ts
@@ -73,6 +73,8 @@
       const machines = [...new Set([...job.placements.values()].map((p) => p.machine.id))].slice(0, 5);
       return [`${tasks} until the earlier attempt is surely gone from ${machines.join(', ')}.`];
     }
+    case 'no idle room':
+      return [`${tasks} for idle room: beyond its least width nothing is stopped or rented for it.`];
     case 'round full':
       return [`${tasks} for the next round: the last one was full.`];
     case 'no room': {
--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet-planner.ts
@@ -28,6 +28,8 @@
   /** The operator's own machines: not returned for idling. */
   readonly standing: ReadonlySet<string>;
   readonly estimates: Estimates;
+  /** How many tasks of a job run on lent room. */
+  readonly lent?: ((job: Job) => number) | undefined;
   /** Seconds from submission within which the class's jobs should be finished, as the settings say. */
   readonly finishWithin: ReadonlyMap<string, number>;
   /** 0: as long as a boot takes. */
@@ -209,7 +211,7 @@
   }
 
   const wanted = s.unplaced.some((u) => u.reason === 'no room');
-  const releases = wanted ? new Releases(s.world, s.types, s.estimates, s.now, HORIZON_S) : undefined;
+  const releases = wanted ? new Releases(s.world, s.types, s.estimates, s.now, HORIZON_S, s.lent) : undefined;
   const rents = new Map<string, { type: TypeName; zone: ZoneName; spot: boolean; count: number }>();
   for (const u of s.unplaced) {
     if (u.reason !== 'no room' || !releases) continue;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -14,6 +14,8 @@
 import { LIST_PAGE, RETURN_MOST, type Cloud } from '../bookkeeping/cloud.js';
 import type { Estimates } from '../bookkeeping/estimates.js';
 import type { Machine, World } from '../bookkeeping/world.js';
+import type { Elastic } from './elastic/index.js';
+import { graceOf as elasticGraceOf } from './elastic/reclaims.js';
 import { planMoves } from './consolidate.js';
 import { kindKey, LOST_BOOT, planFleet } from './fleet-planner.js';
 import { graceOf, type Unplaced } from './planner.js';
@@ -67,6 +69,7 @@
     private readonly planned: () => { readonly unplaced: readonly Unplaced[]; readonly at: SteadyMs },
     private readonly quietZones: () => ReadonlySet<ZoneName>,
     private readonly wake: () => void,
+    private readonly elastic?: Elastic | undefined,
   ) {
     this.since = d.clock.now();
     this.heardBefore = new Map(d.zonesHeardBefore);
@@ -95,6 +98,7 @@
     this.watchCancelled(now);
     this.watchNotices(now);
     this.watchSilence(now);
+    this.watchReclaims(now);
     world.cardSeconds.look(world, d.types.all(), this.workWaits(), now);
     this.logState(now);
     // Before the first whole list the fleet is not known: renting then would rent it twice.
@@ -110,6 +114,7 @@
       pending: [...this.pending],
       standing: this.standing,
       estimates: this.estimates,
+      lent: this.elastic && ((job) => this.elastic?.lent(job) ?? 0),
       finishWithin: this.finishWithin,
       idleReturnMs: d.operator.idleReturnS * 1000,
     });
@@ -131,6 +136,24 @@
     if (lost.length > 0) void this.giveBack(lost, 'never came up');
   }
 
+  /** Requests to give back that weren't met in time: told again, without time to save, and then at the machine's cost. */
+  private watchReclaims(now: SteadyMs): void {
+    if (!this.elastic) return;
+    const { tell, machines } = this.elastic.reclaims.check(now);
+    for (const p of tell) this.world.stopping.add(p);
+    if (machines.length > 0) void this.giveBack([...new Set(machines)], 'a request to give back was ignored');
+    const quiet = !this.workWaits();
+    for (const p of this.elastic.unrent(
+      this.standing ?? new Set(),
+      quiet && this.standing !== undefined,
+      now,
+    )) {
+      this.world.stop(p, elasticGraceOf(p.job.spec), 'unrented', now);
+      this.elastic.reclaims.asked(p, 'the rent of its machine', now);
+    }
+    if (tell.length > 0) this.wake();
+  }
+
   private movedAt = -Infinity;
 
   /** In quiet times only: with work waiting, the room beside the replicas is wanted. */
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -8,6 +8,7 @@
 import type { Job, World } from '../bookkeeping/world.js';
 import { Collecting } from './collecting.js';
 import { commandContext, handleReport } from './command.js';
+import { Elastic } from './elastic/index.js';
 import { FencedWriter } from './fenced-writer.js';
 import { Fleet } from './fleet.js';
 import { Hearing } from './hearing.js';
@@ -24,6 +25,7 @@
 export class Holder implements Scope {
   world: World | undefined;
   fleet: Fleet | undefined;
+  elastic: Elastic | undefined;
   readonly estimates = new Estimates();
   private alive = true;
   private readonly writer: FencedWriter;
@@ -91,6 +93,7 @@
       () => this.wake(),
       (id) => this.heardCancelled(id),
     );
+    if (d.operator.elastic > 0) this.elastic = new Elastic({ ...d, types: () => d.types.all() }, this.world);
     this.fleet = new Fleet(
       { ...d, held: this.held },
       this.world,
@@ -99,6 +102,7 @@
       () => ({ unplaced: this.rounds.unplaced, at: this.rounds.plannedAt }),
       () => this.hearing.quietZones(),
       () => this.wake(),
+      this.elastic,
     );
     void this.rounds.run();
     void this.settling.run();
--- a/src/coordination/load.ts
+++ b/src/coordination/load.ts
@@ -119,7 +119,7 @@
       sums.set(receipt.value.plan, receipt.value.sum);
       for (const claim of receipt.value.claims) {
         const job = world.jobs.get(claim.job);
-        if (job) job.row = withGeneration(job.row, claim.generation);
+        if (job) job.row = withGeneration(job.row, claim.generation, claim.width);
       }
     } else log.error('receipt-unreadable', { key: e.key, why: receipt.error });
   }
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -14,6 +14,8 @@
   type Use,
   type World,
 } from '../bookkeeping/world.js';
+import { actualWidth, type WidthRules } from './elastic/index.js';
+import { graceOf as elasticGraceOf } from './elastic/reclaims.js';
 import { roomFor, Rooms, type Need, type Room } from './rooms.js';
 
 /** What a round is planned from. The planner only reads it, and the same snapshot gives the same plan. */
@@ -36,6 +38,8 @@
   readonly within?: ReadonlySet<JobId>;
   /** Jobs come in a flood: work that could be stopped only at a loss leaves the room to what is still to come. */
   readonly flood?: boolean;
+  /** Of elastic jobs: how wide they may be, and what of them is lent. */
+  readonly widths?: WidthRules | undefined;
   /** Zones that have fallen silent: nothing new goes there. */
   readonly quietZones?: ReadonlySet<ZoneName>;
 }
@@ -69,6 +73,8 @@
 const PATIENT_S = 15;
 /** Share of an aim's time that may pass in the hope of room that others give back. */
 const HOPE = 0.6;
+/** What is lent is taken back before anything else of the same loss. */
+const LENT_COST = 0.1;
 /** A fetch shorter than this is never worth stopping other work. */
 const WORTH_A_STOP_S = 3;
 
@@ -78,7 +84,8 @@
   readonly machine: Machine;
 }
 
-export type WaitReason = 'team limit' | 'no room' | 'backing off' | 'old attempt not gone' | 'round full';
+export type WaitReason =
+  'team limit' | 'no room' | 'backing off' | 'old attempt not gone' | 'round full' | 'no idle room';
 
 export interface Unplaced {
   readonly job: Job;
@@ -320,6 +327,8 @@
       if (job.cancelledAt === undefined && waitingCount(job) > 0) waiting.push(job);
     }
     waiting.sort(this.order);
+    // What elastic jobs take beyond their least is what nobody else had a use for.
+    if (this.s.widths) waiting.sort((a, b) => Number(this.grows(a)) - Number(this.grows(b)));
     for (let i = 0; i < waiting.length;) {
       const equals = this.equalArrays(waiting, i);
       const overdue = new Set<Job>();
@@ -365,6 +374,45 @@
     return this.s.now - job.acceptedAt > most * 500;
   }
 
+  /** Beyond its least, an elastic job takes idle room only: nothing is stopped or rented for it. */
+  private grows(job: Job): boolean {
+    return (
+      job.spec.elastic !== undefined &&
+      this.s.widths !== undefined &&
+      actualWidth(job) >= job.spec.elastic.least
+    );
+  }
+
+  /** Up to its least first, as ordinary work; what goes beyond is for a round that finds it there. */
+  private widthLeft(job: Job): number {
+    const room = this.s.widths?.room(job);
+    if (room === undefined) return Infinity;
+    const toLeast = (job.spec.elastic?.least ?? 0) - actualWidth(job);
+    return (toLeast > 0 ? Math.min(room, toLeast) : room) - (this.placed.get(job)?.size ?? 0);
+  }
+
+  /** How many tasks of each elastic job this round has asked back. */
+  private readonly askedBack = new Map<Job, number>();
+
+  private isLent(p: Placement): boolean {
+    const { widths } = this.s;
+    return (
+      p.job.spec.elastic !== undefined && !!widths && widths.lent(p.job) > (this.askedBack.get(p.job) ?? 0)
+    );
+  }
+
+  private stop(p: Placement, job: Job): void {
+    if (p.job.spec.elastic) this.askedBack.set(p.job, (this.askedBack.get(p.job) ?? 0) + 1);
+    const graceS = p.job.spec.elastic ? elasticGraceOf(p.job.spec) : graceOf(p.job.spec);
+    this.stops.push({ placement: p, graceS, forJob: job.id });
+  }
+
+  /** Lent room is given back to whoever is no elastic job itself; else what the order allows. */
+  private mayStop(p: Placement, job: Job): boolean {
+    if (!p.ended && !job.spec.elastic && this.isLent(p)) return true;
+    return preemptible(p, job, this.within, this.order);
+  }
+
   /** Tasks of each job that this round has a place for already, and the zones of those and of all before them. */
   private readonly placed = new Map<Job, Set<TaskIndex>>();
   private readonly zonesSoFar = new Map<Job, Map<ZoneName, number>>();
@@ -372,8 +420,9 @@
   private planJob(job: Job, warmOnly = false): void {
     const { spec } = job;
     const before = this.placed.get(job);
-    const count = waitingCount(job) - (before?.size ?? 0);
+    const count = Math.min(waitingCount(job) - (before?.size ?? 0), this.widthLeft(job));
     if (count <= 0) return;
+    const grows = this.grows(job);
     const put = (reason: WaitReason, n: number): void => {
       if (warmOnly) return;
       // What the team's limit keeps from running anyway needs no room, and above all no rented machine.
@@ -389,14 +438,15 @@
     this.zonesSoFar.set(job, zones);
     const kinds = this.kindsOf(job, zones);
     if (kinds !== undefined && this.knownFull(kinds, spec)) {
+      if (grows) return put('no idle room', count);
       if (!warmOnly) this.makeRoom(job, count);
       return put('no room', count);
     }
     const left = Math.max(1, this.s.maxTasks - this.tasks.length);
     // By name, not by number: a pass may leave out a task and place the next (seen: tasks in one plan twice).
-    const waiting = waitingTasks(job, left + (before?.size ?? 0)).filter(
-      (i) => !before?.has(i) && !this.strangers.has(`${job.id}/${i}`),
-    );
+    const waiting = waitingTasks(job, left + (before?.size ?? 0))
+      .filter((i) => !before?.has(i) && !this.strangers.has(`${job.id}/${i}`))
+      .slice(0, count);
     const images = this.imageRooms(job);
     if (warmOnly && images.length === 0) return;
     let kept = 0;
@@ -407,6 +457,7 @@
       const room = warmOnly ? this.warmest(job, zones, images) : this.pick(job, zones, images);
       if (!room) {
         if (warmOnly) return;
+        if (grows) return put('no idle room', rest + kept);
         if (kinds !== undefined && k === 0) this.full.push({ kinds, need: spec });
         this.makeRoom(job, rest);
         return put('no room', rest + kept);
@@ -489,6 +540,7 @@
     if (m.spot && !spec.spot) return false;
     if (spec.types !== null && !spec.types.includes(m.type)) return false;
     if ((job.avoid.get(m.id) ?? 0) > this.s.now) return false;
+    if (spec.elastic && this.s.widths?.closing(m.id)) return false;
     return zoneAllowed(spec, zones, m.zone);
   }
 
@@ -643,9 +695,7 @@
       return false;
     }
     best.room.reserved = true;
-    for (const placement of best.stops) {
-      this.stops.push({ placement, graceS: graceOf(placement.job.spec), forJob: job.id });
-    }
+    for (const placement of best.stops) this.stop(placement, job);
     return true;
   }
 
@@ -724,7 +774,9 @@
     const turn = spec.kind === 'gang' && spec.tasks > 1 ? 'gangs' : 'others';
     if (++this.searches[turn] > MOST_SEARCHES) return;
     const zones = zonesOf(job);
-    let wanted = Math.min(count - this.servedByReleases(job, count, zones), 64);
+    // Live work doesn't wait in hope of room while some of it is only lent.
+    const hopes = !(spec.kind === 'service' || this.s.aims.byClass.has(spec.class)) || !this.anyLent();
+    let wanted = Math.min(count - (hopes ? this.servedByReleases(job, count, zones) : 0), 64);
     if (wanted <= 0) return;
     // Jobs come in order, and rooms only get fewer: where one found nothing that may be stopped for it, another
     // that may stop no more than it finds nothing either.
@@ -755,24 +807,33 @@
       if (zone !== undefined && c.room.machine.zone !== zone) continue;
       wanted -= c.holds;
       c.room.reserved = true;
-      if (patient) continue;
-      for (const placement of c.stops) {
-        this.stops.push({ placement, graceS: graceOf(placement.job.spec), forJob: job.id });
-      }
+      if (patient && !c.stops.every((p) => this.isLent(p))) continue;
+      for (const placement of c.stops) this.stop(placement, job);
     }
   }
 
+  private lentAnywhere: boolean | undefined;
+  private anyLent(): boolean {
+    const { widths, world } = this.s;
+    if (!widths) return false;
+    this.lentAnywhere ??= [...world.jobs.values()].some(
+      (j) => j.spec.elastic !== undefined && widths.lent(j) > 0,
+    );
+    return this.lentAnywhere;
+  }
+
   /** What stands in the room, as far as it says at once that nothing there may be stopped. Once a round. */
   private contentsOf(room: Room): Contents {
     let sum = this.contents.get(room);
     if (sum) return sum;
-    sum = { lowest: -1, outside: false, stopping: false };
+    sum = { lowest: -1, outside: false, stopping: false, lent: false };
     for (const p of room.machine.placements) {
       if (p.ended) continue;
       if (p.stop) sum.stopping = true;
       else {
         sum.lowest = Math.max(sum.lowest, priorityRank(p.job.spec.priority));
         if (!this.within.has(p.job.id)) sum.outside = true;
+        if (this.isLent(p)) sum.lent = true;
       }
     }
     this.contents.set(room, sum);
@@ -785,7 +846,10 @@
   private candidate(job: Job, room: Room): Candidate | undefined {
     const { spec } = job;
     const sum = this.contentsOf(room);
-    const mayStop = sum.lowest > priorityRank(spec.priority) || (sum.outside && this.within.has(job.id));
+    const mayStop =
+      sum.lowest > priorityRank(spec.priority) ||
+      (sum.outside && this.within.has(job.id)) ||
+      (sum.lent && !spec.elastic);
     // Nothing is on its way out, and nothing may be stopped: what is free is all there is.
     if (!mayStop && !sum.stopping && !roomFor(room, spec)) return undefined;
     this.searched++;
@@ -799,15 +863,22 @@
     for (const p of room.machine.placements) if (!p.ended && p.stop) give(p);
     if (roomFor(free, spec)) return { room, stops: [], loss: 0, waiting: true, holds: holds() };
     if (!mayStop) return undefined;
+    const cost = (p: Placement): number => lossOf(p, this.s.now) * (this.isLent(p) ? LENT_COST : 1);
     const victims = [...room.machine.placements]
-      .filter((p) => !p.stop && preemptible(p, job, this.within, this.order))
-      .sort((a, b) => lossOf(a, this.s.now) - lossOf(b, this.s.now));
+      .filter((p) => !p.stop && this.mayStop(p, job))
+      .sort((a, b) => cost(a) - cost(b));
     const stops: Placement[] = [];
     let loss = 0;
+    const taken = new Map<Job, number>();
     for (const p of victims) {
+      // Of one job no more than is lent, unless the order allows it anyway.
+      const n = taken.get(p.job) ?? 0;
+      const lent = this.isLent(p) && (this.s.widths?.lent(p.job) ?? 0) > (this.askedBack.get(p.job) ?? 0) + n;
+      if (p.job.spec.elastic && !lent && !preemptible(p, job, this.within, this.order)) continue;
+      taken.set(p.job, n + 1);
       give(p);
       stops.push(p);
-      loss += lossOf(p, this.s.now) * p.job.placements.size ** (p.job.spec.kind === 'gang' ? 1 : 0);
+      loss += cost(p) * p.job.placements.size ** (p.job.spec.kind === 'gang' ? 1 : 0);
       if (roomFor(free, spec)) return { room, stops, loss, waiting: false, holds: holds() };
     }
     return undefined;
@@ -846,6 +917,8 @@
   outside: boolean;
   /** Something is being stopped. */
   stopping: boolean;
+  /** Some elastic job runs more than its least there. */
+  lent: boolean;
 }
 
 interface Candidate {
--- a/src/coordination/releases.ts
+++ b/src/coordination/releases.ts
@@ -3,7 +3,7 @@
 import type { ImageName, TypeName, ZoneName } from '../protocol/ids.js';
 import type { JobSpec } from '../protocol/jobs.js';
 import type { Estimates } from '../bookkeeping/estimates.js';
-import type { World } from '../bookkeeping/world.js';
+import type { Job, World } from '../bookkeeping/world.js';
 
 /** Room that running work of one size, on machines of one kind, gives back within the same second. */
 interface Group {
@@ -31,7 +31,10 @@
     estimates: Estimates,
     now: SteadyMs,
     horizonS: number,
+    /** Tasks of an elastic job that are given back on demand: no machine is rented beside them. */
+    lent: (job: Job) => number = () => 0,
   ) {
+    const toGive = new Map<Job, number>();
     const groups = new Map<string, Group>();
     for (const m of world.machines.values()) {
       if (m.state !== 'up' || m.noticeAt !== undefined || m.suspectUntil > now) continue;
@@ -43,7 +46,12 @@
         const { spec } = p.job;
         if (p.ended || (spec.kind === 'service' && !p.stop)) continue;
         const ran = p.runningSince === undefined ? 0 : (now - p.runningSince) / 1000;
-        const inS = Math.ceil(p.stop ? spec.saveS : estimates.rest(spec, ran));
+        let inS = Math.ceil(p.stop ? spec.saveS : estimates.rest(spec, ran));
+        if (spec.elastic && !p.stop) {
+          const left = toGive.get(p.job) ?? lent(p.job);
+          toGive.set(p.job, left - 1);
+          if (left > 0) inS = Math.min(inS, Math.ceil(spec.elastic.giveBackS));
+        }
         if (inS > horizonS) continue;
         // What stands free beside the task goes with its place; coarse, so that groups stay few.
         const cpus = Math.floor(spec.cpus + spare.cpus);
--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -4,6 +4,7 @@
 import type { JobId, Mark } from '../protocol/ids.js';
 import { attemptOf, Keys, planId, seal, withGeneration, type Claim } from '../bookkeeping/records.js';
 import { waitingCount, type Machine, type World } from '../bookkeeping/world.js';
+import { graceOf } from './elastic/reclaims.js';
 import type { FencedWriter } from './fenced-writer.js';
 import type { Hearing } from './hearing.js';
 import type { Orders } from './orders.js';
@@ -143,6 +144,7 @@
       this.within = withinGuarantee(world.jobs.values(), d.teams);
       this.withinAt = from;
     }
+    this.reclaim(world, from);
     const result = planRound({
       within: this.within,
       quietZones: this.orders.quiet,
@@ -159,6 +161,7 @@
       estimates: this.s.estimates,
       aims: this.aims,
       flood: this.isFlood(from),
+      widths: this.s.elastic,
     });
     this.unplaced = result.unplaced;
     this.plannedAt = from;
@@ -166,7 +169,10 @@
     this.planMs = 0.7 * this.planMs + 0.3 * (now - from);
     for (const s of result.stops) {
       const all = s.placement.job.spec.kind === 'gang' ? s.placement.job.placements.values() : [s.placement];
-      for (const p of all) world.stop(p, s.graceS, 'preempted', now);
+      for (const p of all) {
+        world.stop(p, s.graceS, 'preempted', now);
+        this.s.elastic?.reclaims.asked(p, s.forJob, now);
+      }
       d.log.info('task-preempted', {
         task: `${s.placement.job.id}/${s.placement.index}`,
         machine: s.placement.machine.id,
@@ -177,6 +183,16 @@
     return result.tasks.length > 0 ? this.commit(world, result.tasks) : 0;
   }
 
+  /** What elastic jobs run beyond their width is asked back, with time to save. */
+  private reclaim(world: World, now: SteadyMs): void {
+    const { elastic, d } = this.s;
+    for (const p of elastic?.update(this.unplaced, now) ?? []) {
+      world.stop(p, graceOf(p.job.spec), 'width', now);
+      elastic?.reclaims.asked(p, 'its width', now);
+      d.log.info('task-shrunk', { task: `${p.job.id}/${p.index}`, machine: p.machine.id });
+    }
+  }
+
   /** Plan, receipt and rows in one transaction that conditions on the term and on every row's mark. */
   private async commit(world: World, tasks: readonly PlannedTask[]): Promise<number> {
     const { d } = this.s;
@@ -190,7 +206,10 @@
     const sealed = seal(plan);
     const jobs = [...new Set(taken.map((t) => t.job))];
     if (jobs.length === 0) return 0;
-    const claims = jobs.map((job): Claim => ({ job: job.id, generation: job.row.generation + 1 }));
+    const claims = jobs.map((job): Claim => {
+      const width = this.s.elastic?.widthOf(job);
+      return { job: job.id, generation: job.row.generation + 1, ...(width === undefined ? {} : { width }) };
+    });
     const sessions = new Map(taken.map((t) => [t.machine, t.machine.session]));
     for (const m of sessions.keys()) m.rounds++;
     const sent = d.clock.now();
@@ -230,9 +249,9 @@
     const now = d.clock.now();
     d.metrics.timeMs('round-commit', now - sent);
     world.plans.set(id, { id, open: taken.length, notes: new Set() });
-    for (const { job, generation } of claims) {
+    for (const { job, generation, width } of claims) {
       const known = world.jobs.get(job);
-      if (known) known.row = withGeneration(known.row, generation);
+      if (known) known.row = withGeneration(known.row, generation, width);
     }
     for (const t of taken) {
       const session = sessions.get(t.machine)!;
--- a/src/coordination/scope.ts
+++ b/src/coordination/scope.ts
@@ -9,6 +9,7 @@
 import type { Mirror } from '../bookkeeping/mirror.js';
 import type { Store } from '../bookkeeping/store.js';
 import type { World } from '../bookkeeping/world.js';
+import type { Elastic } from './elastic/index.js';
 import type { FleetDeps } from './fleet.js';
 import type { Pipelines } from './pipelines/index.js';
 import type { HeldTerm, TermKeeper } from './term.js';
@@ -37,6 +38,8 @@
   readonly estimates: Estimates;
   /** Undefined until it is loaded. */
   readonly world: World | undefined;
+  /** There only where jobs may change their width. */
+  readonly elastic: Elastic | undefined;
   /** Whether this term still stands; every loop ends when it doesn't. */
   live(): boolean;
   /** Something changed that a round or a settlement may be due for. */
--- a/src/coordination/stamping.ts
+++ b/src/coordination/stamping.ts
@@ -40,7 +40,7 @@
     const { d } = this.s;
     const rows = jobs.map((job): Row => ({
       ...job.row,
-      state: 'running',
+      state: job.everStarted ? 'running' : job.row.state,
       term: this.s.held.term,
       done: job.done.count,
     }));
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -5,7 +5,14 @@
 import type { Log } from '../transport/log.js';
 import { decodeAs } from '../protocol/codec.js';
 import { JOB_ID, NO_MARK, type JobId, type StoreKey, type TeamName, type Term } from '../protocol/ids.js';
-import { encodeError, encodeJobAnswer, submission, type JobAnswer, type JobSpec } from '../protocol/jobs.js';
+import {
+  elasticFault,
+  encodeError,
+  encodeJobAnswer,
+  submission,
+  type JobAnswer,
+  type JobSpec,
+} from '../protocol/jobs.js';
 import type { Settings, TeamLimits } from '../protocol/settings.js';
 import type { Mirror, MirroredRow } from '../bookkeeping/mirror.js';
 import {
@@ -36,6 +43,8 @@
   readonly teams: ReadonlyMap<TeamName, TeamLimits>;
   /** Whether one more job can be taken now, beside what all nodes take. */
   readonly admit: () => boolean;
+  /** Whether jobs may change their width: without it the fields that say so are ignored, like any unknown ones. */
+  readonly elastic: boolean;
   /** Counts for display, where this node knows better than the row. */
   /** Steps of pipelines are jobs too, for their users; there only where pipelines are served. */
   readonly steps?: Pick<PipelineUsers, 'epochCondition' | 'jobState' | 'cancelHeld'> | undefined;
@@ -57,6 +66,12 @@
   readonly answer: (reply: Reply) => void;
 }
 
+const withoutWidth = (spec: JobSpec): JobSpec => {
+  if (spec.elastic === undefined && spec.headRoom === undefined) return spec;
+  const { elastic: _, headRoom: __, ...rest } = spec;
+  return rest;
+};
+
 const KEEP_ENDED = 20_000;
 
 /** The users' side: any node takes jobs and cancellations, straight to the store. */
@@ -84,7 +99,9 @@
     const { d } = this;
     const parsed = decodeAs(submission, body);
     if (!parsed.ok) return refuse(400, parsed.error);
-    const spec = parsed.value;
+    const spec = d.elastic ? parsed.value : withoutWidth(parsed.value);
+    const wrong = elasticFault(spec);
+    if (wrong !== undefined) return refuse(400, wrong);
     if (this.ended.has(spec.id)) return this.stateOf(spec.id);
     const known = d.mirror.get(spec.id);
     if (known || d.steps?.jobState(spec.id) !== undefined) return this.stateOf(spec.id);
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -17,6 +17,7 @@
   readonly silentFenceS: number;
   readonly holderShare: number;
   readonly keepStanding: number;
+  readonly elastic: number;
   readonly pipelines: number;
   readonly pipelineSteps: number;
   readonly pipelinesPerTeam: number;
@@ -81,6 +82,14 @@
     max: 1,
     meaning: 'keep machines that stood before the service first ran (1) or return them when idle (0)',
   },
+  elastic: {
+    field: 'elastic',
+    fallback: 0,
+    min: 0,
+    max: 1,
+    meaning:
+      'let jobs that ask for it change their width (1) or run them at one width (0); all controllers alike',
+  },
   pipelines: {
     field: 'pipelines',
     fallback: 0,
--- a/test/standin/scenario.ts
+++ b/test/standin/scenario.ts
@@ -76,10 +76,22 @@
       checkpointS,
       saveS: checkpointS > 0 ? 1 : 0,
       deadlineS: null,
+      ...widthOf(o),
     },
   };
 }
 
+/** `width=2-12`, `giveback=10`, `rent=0.5`; `headroom=0.5` of a service. */
+function widthOf(o: Map<string, string>): Pick<JobSpec, 'elastic' | 'headRoom'> {
+  const [least, most] = (o.get('width') ?? '').split('-').map(Number);
+  return {
+    ...(most === undefined
+      ? {}
+      : { elastic: { least: least!, most, giveBackS: num(o, 'giveback', 10), rentUpTo: num(o, 'rent', 0) } }),
+    ...(o.has('headroom') ? { headRoom: num(o, 'headroom', 0) } : {}),
+  };
+}
+
 interface StepLine {
   readonly pipeline: string;
   readonly name: string;
@@ -331,6 +343,17 @@
       u.net.lateOrders = Number(w[0]);
       u.net.orderDelayS = Number(w[1]);
       return;
+    case 'stubborn':
+      for (const m of u.cloud.live()) m.worker?.stubborn.add(w[0]!);
+      return;
+    case 'expect-most': {
+      const running = u.rules.running(w[0]!);
+      if (running > Number(w[1]))
+        u.rules.broken.push(
+          `expected ${w[1]} of ${w[0]} at most at ${u.world.now / 1000} s, found ${running}`,
+        );
+      return;
+    }
     case 'duds':
       u.cloud.duds = Number(w[0]);
       return;
@@ -396,6 +419,10 @@
     const takes = u.events.get('term-taken') ?? 0;
     return takes <= Number(third) ? undefined : `the term was taken ${takes} times`;
   }
+  if (subject === 'widths') {
+    const n = u.events.get('width') ?? 0;
+    return n <= Number(third) ? undefined : `widths changed ${n} times`;
+  }
   if (subject === 'raises') {
     const raises = u.events.get('term-raised') ?? 0;
     const loads = u.events.get('world-rebuilt') ?? 0;
@@ -467,6 +494,7 @@
     rps: set('rps', 150),
     writeRps: set('writes', 50),
     operator: {
+      elastic: set('elastic', 0),
       pipelines: set('pipelines', 0),
       pipelinesPerTeam: set('per-team', 200),
       heldSteps: set('held', 20_000),
--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -95,6 +95,8 @@
   noticeUntil: number | undefined;
   slow = 1;
   refuseStarts = 0;
+  /** Tasks of these jobs don't end when they are told to. */
+  readonly stubborn = new Set<string>();
   private readonly http: HttpClient;
   private nextReport = 0;
 
@@ -330,6 +332,7 @@
   }
 
   private stop(task: LocalTask, graceS: number): void {
+    if (this.stubborn.has(task.job)) return;
     const run = this.s.jobs.get(task.job);
     const spec = run?.spec;
     if (task.state === 'saving' && graceS > 0) return;
