Accepts are not bounded, and arrays don't wait out a flood: both taken out again

Change: both are out; the pledge to rounds, claims, calm fetches and zones told between controllers stay.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,6 +1,6 @@
 import { Attention } from '../transport/attention.js';
 import { Budget, Rank } from '../transport/budget.js';
-import { DRIFT, sleep, type Clock, type SteadyMs } from '../transport/clock.js';
+import { DRIFT, sleep, type Clock } from '../transport/clock.js';
 import type { HttpClient, Reply, Route } from '../transport/http.js';
 import type { Log } from '../transport/log.js';
 import type { Metrics } from '../transport/metrics.js';
@@ -42,15 +42,6 @@
 const SYNC_MS = 1000;
 /** Share of the write rate that rounds have for themselves. */
 const ROUND_PLEDGE = 0.12;
-/**
- * Share of the write rate that accepts of all nodes together may take. The service refuses whatever comes above the rate,
- * whoever sent it: without a bound here, users' retries keep it refusing, and a round's two changes hardly ever get through
- * (seen: one round in the first ten seconds of a day, and thirty refused).
- */
-const ACCEPT_SHARE = 0.8;
-/** By then a peer that is there has been heard. */
-const PEERS_HEARD_MS = 3000;
-
 /** The operators' own paths; users' paths are the protocol's. */
 export const OPS = { explain: '/ops/explain/:id', metrics: '/ops/metrics', names: '/ops/names' } as const;
 
@@ -73,8 +64,6 @@
   private readonly teams: ReadonlyMap<TeamName, TeamLimits>;
   private readonly requests: Budget;
   private readonly writes: Budget;
-  private readonly accepts: Budget;
-  private readonly startedAt: SteadyMs;
   holder: Holder | undefined;
   private readonly attention: Attention;
   private readonly pipelines: Pipelines | undefined;
@@ -109,14 +98,6 @@
       // the first fifteen seconds of a day, while jobs were taken at just the write rate).
       { rank: Rank.Round, share: ROUND_PLEDGE, most: 4 },
     );
-    this.startedAt = clock.now();
-    this.accepts = new Budget(clock, (store.writeRps * ACCEPT_SHARE) / (1 + settings.peers.length), {
-      [Rank.Lease]: 0,
-      [Rank.User]: 0,
-      [Rank.Finish]: 0,
-      [Rank.Round]: 0,
-      [Rank.Garbage]: 0,
-    });
     this.teams = new Map(settings.teams.map((t) => [t.name, t]));
     this.store = new Store(d.http, settings.state, clock, this.requests, this.writes, log);
     this.mirror = new Mirror(this.store, clock, random, log, store.rps);
@@ -174,7 +155,6 @@
       peers: this.peers,
       settings,
       teams: this.teams,
-      admit: () => this.accepts.tryTake(1),
       counts: (id) => this.countsOf(id),
       steps: this.pipelines?.users,
     });
@@ -236,15 +216,10 @@
       : (1 - this.d.operator.holderShare) / Math.max(1, others);
     this.requests.setRate(store.rps * mine);
     this.writes.setRate(store.writeRps * mine);
-    // Users are spread over the nodes that are there; a peer not heard yet is taken to be one of them.
-    const young = this.d.clock.now() - this.startedAt < PEERS_HEARD_MS;
-    const nodes = 1 + (young ? others : this.peers.reachingStore());
-    this.accepts.setRate((store.writeRps * ACCEPT_SHARE) / nodes);
   }
 
   private async syncLoop(): Promise<never> {
     for (;;) {
-      this.shareRates();
       if (this.d.clock.now() - this.mirror.syncedAt >= SYNC_MS * 0.8) {
         if (await this.mirror.sync()) this.peers.anchor();
       }
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -128,7 +128,6 @@
         row.row.state === 'cancelled' ? this.d.clock.now() : undefined,
       );
       this.d.log.info('job-seen', { job: id, class: added.spec.class, tasks: added.spec.tasks });
-      this.rounds.jobSeen();
       this.d.pipelines?.rowSeen(id);
       this.wake();
       return;
--- a/src/coordination/peers.ts
+++ b/src/coordination/peers.ts
@@ -102,13 +102,8 @@
   }
 
   someReachStore(): boolean {
-    return this.reachingStore() > 0;
-  }
-
-  /** Peers that were heard of late and say that they reach the store. */
-  reachingStore(): number {
     const now = this.clock.now();
-    return this.peers.filter((p) => p.storeOk && now - p.heardAt < 2500).length;
+    return this.peers.some((p) => p.storeOk && now - p.heardAt < 2500);
   }
 
   private frame(kind: FrameKind, number: number, extra: Partial<Frame> = {}): Frame {
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -34,8 +34,6 @@
   readonly aims: StartAims;
   /** Jobs within their team's guarantee, where the caller knows them already. */
   readonly within?: ReadonlySet<JobId>;
-  /** Jobs come in a flood: work that could be stopped only at a loss leaves the room to what is still to come. */
-  readonly flood?: boolean;
   /** Zones that have fallen silent: nothing new goes there. */
   readonly quietZones?: ReadonlySet<ZoneName>;
 }
@@ -411,8 +409,6 @@
         this.makeRoom(job, rest);
         return put('no room', rest + kept);
       }
-      if (this.s.flood && spec.kind === 'array' && spec.checkpointS === 0)
-        return put('round full', rest + kept);
       if (!this.holdsImage(room.machine, job) && this.warmRoom(job, zones)) {
         kept++;
         continue;
--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -20,10 +20,6 @@
 
 /** How old the holder's view of who is within the guarantees may be. */
 const WITHIN_MS = 300;
-/** Over how long arrivals are counted, from which share of the write rate they are a flood, and for how long at most. */
-const FLOOD_MS = 2000;
-const FLOOD_SHARE = 0.4;
-const MOST_FLOOD_MS = 15_000;
 /** A round writes its plan and its receipt; the rows of its jobs are claimed in the latter. */
 const ROUND_CHANGES = 2;
 
@@ -67,26 +63,6 @@
     this.wakeUp?.();
   }
 
-  private seen: SteadyMs[] = [];
-  private floodSince: SteadyMs | undefined;
-
-  jobSeen(): void {
-    this.seen.push(this.s.d.clock.now());
-  }
-
-  /**
-   * Jobs come at a good part of the write rate: the next seconds bring work of every rank. What a round gives to arrays now is
-   * taken back from them at a loss a second later (seen: half as much work lost again as when all was placed at the end
-   * of the flood). So arrays wait, for some seconds at most, while everything else starts at once.
-   */
-  private isFlood(now: SteadyMs): boolean {
-    this.seen = this.seen.filter((at) => now - at < FLOOD_MS);
-    const rate = (this.seen.length * 1000) / FLOOD_MS;
-    if (rate < FLOOD_SHARE * this.s.d.settings.store.writeRps) this.floodSince = undefined;
-    else this.floodSince ??= now;
-    return this.floodSince !== undefined && now - this.floodSince < MOST_FLOOD_MS;
-  }
-
   async run(): Promise<void> {
     const { d } = this.s;
     let last = (d.clock.now() - 1000) as SteadyMs;
@@ -158,7 +134,6 @@
       preemptAfterMs: 1500,
       estimates: this.s.estimates,
       aims: this.aims,
-      flood: this.isFlood(from),
     });
     this.unplaced = result.unplaced;
     this.plannedAt = from;
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -34,8 +34,6 @@
   readonly peers: Peers;
   readonly settings: Settings;
   readonly teams: ReadonlyMap<TeamName, TeamLimits>;
-  /** Whether one more job can be taken now, beside what all nodes take. */
-  readonly admit: () => boolean;
   /** Counts for display, where this node knows better than the row. */
   /** Steps of pipelines are jobs too, for their users; there only where pipelines are served. */
   readonly steps?: Pick<PipelineUsers, 'epochCondition' | 'jobState' | 'cancelHeld'> | undefined;
@@ -108,8 +106,6 @@
     };
     const sealed = seal(row);
     if (!fits(sealed, d.settings.store.valueKb)) return refuse(400, 'the submission is too large');
-    // Told at once: sent to the store all the same, it would be refused there, and rounds and ends with it.
-    if (!d.admit()) return later('more jobs come than can be taken just now');
     return new Promise((answer) => {
       this.queue.push({ spec, sealed, answer });
       void this.flush();
--- a/src/transport/budget.ts
+++ b/src/transport/budget.ts
@@ -60,14 +60,6 @@
     this.tokens = Math.max(this.tokens - cost, -2 * this.rate);
   }
 
-  /** Takes it if it is there, and says so at once. */
-  tryTake(cost: number): boolean {
-    this.refill();
-    if (this.tokens < cost) return false;
-    this.tokens -= cost;
-    return true;
-  }
-
   /** Gives back what was taken and not used. */
   giveBack(cost: number, rank: Rank): void {
     this.refill();
