--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -41,13 +41,11 @@
   readonly peers: Peers;
   readonly settings: Settings;
   readonly teams: ReadonlyMap<TeamName, TeamLimits>;
-  /** Whether one more job can be taken now, beside what all nodes take. */
-  readonly admit: () => boolean;
   /** Whether jobs may change their width: without it the fields that say so are ignored, like any unknown ones. */
   readonly elastic: boolean;
-  /** Counts for display, where this node knows better than the row. */
   /** Steps of pipelines are jobs too, for their users; there only where pipelines are served. */
   readonly steps?: Pick<PipelineUsers, 'epochCondition' | 'jobState' | 'cancelHeld'> | undefined;
+  /** Counts for display, where this node knows better than the row. */
   readonly counts: (id: JobId) => { done: number; running: number } | undefined;
 }
 
@@ -68,8 +66,10 @@
 
 const withoutWidth = (spec: JobSpec): JobSpec => {
   if (spec.elastic === undefined && spec.headRoom === undefined) return spec;
-  const { elastic: _, headRoom: __, ...rest } = spec;
-  return rest;
+  const rest: Record<string, unknown> = { ...spec };
+  delete rest['elastic'];
+  delete rest['headRoom'];
+  return rest as unknown as JobSpec;
 };
 
 const KEEP_ENDED = 20_000;
@@ -125,8 +125,6 @@
     };
     const sealed = seal(row);
     if (!fits(sealed, d.settings.store.valueKb)) return refuse(400, 'the submission is too large');
-    // Told at once: sent to the store all the same, it would be refused there, and rounds and ends with it.
-    if (!d.admit()) return later('more jobs come than can be taken just now');
     return new Promise((answer) => {
       this.queue.push({ spec, sealed, answer });
       void this.flush();
--- a/src/pipelines/file.ts
+++ b/src/pipelines/file.ts
@@ -1,7 +1,7 @@
 import { isMap, isScalar, LineCounter, parseDocument, type Document, type Node } from 'yaml';
 import * as z from 'zod';
 import type { ImageName, TeamName, TypeName, ZoneName } from '../protocol/ids.js';
-import { MAX_TASKS, type JobShape } from '../protocol/jobs.js';
+import { DEFAULT_GIVE_BACK_S, elasticFault, MAX_TASKS, type JobShape } from '../protocol/jobs.js';
 import { findCircle } from '../protocol/pipeline-graph.js';
 import { isZone, moment, parseEvery, type Calendar } from './calendar.js';
 import type { Draft, DraftStep } from './draft.js';
@@ -63,6 +63,13 @@
   checkpoint: duration,
   save: duration,
   deadline: z.union([z.string(), z.number()]),
+  width: z.strictObject({
+    least: z.number().int().min(0).optional(),
+    most: count,
+    'give-back': duration.optional(),
+    'rent-up-to': amount.optional(),
+  }),
+  'head-room': z.number().min(0).max(10),
   retries: z.union(
     [
       z.number().int().min(0),
@@ -166,6 +173,20 @@
   return faults.length > 0 || !file ? fail(faults) : { ok: true, value: file };
 }
 
+const elasticOf = (s: Step): Pick<JobShape, 'elastic' | 'headRoom'> => ({
+  ...(s.width
+    ? {
+        elastic: {
+          least: Math.min(s.width.least ?? 0, s.width.most),
+          most: s.width.most,
+          giveBackS: s.width['give-back'] ?? DEFAULT_GIVE_BACK_S,
+          rentUpTo: s.width['rent-up-to'] ?? 0,
+        },
+      }
+    : {}),
+  ...(s['head-room'] ? { headRoom: s['head-room'] } : {}),
+});
+
 const needsOf = (step: unknown): string[] => {
   const needs = typeof step === 'object' && step !== null ? (step as { needs?: unknown }).needs : undefined;
   const list: unknown[] = Array.isArray(needs) ? needs : [needs];
@@ -390,7 +411,10 @@
       checkpointS: s.checkpoint ?? 0,
       saveS: s.save ?? 0,
       deadlineS: deadline.afterS,
+      ...elasticOf(s),
     };
+    const fault = elasticFault(shape);
+    if (fault !== undefined) this.complain(this.places.of([...path, s.width ? 'width' : 'head-room']), fault);
     const retries = typeof s.retries === 'number' ? { count: s.retries, backoff: undefined } : s.retries;
     return {
       name,
--- a/src/pipelines/grammar.ts
+++ b/src/pipelines/grammar.ts
@@ -94,6 +94,13 @@
   'times',
   'id',
   'called',
+  'from',
+  'to',
+  'wide',
+  'giving',
+  'back',
+  'head',
+  'room',
   'starting',
   'at',
   'withdraw',
@@ -336,6 +343,28 @@
         },
       },
       { ALT: () => this.CONSUME(W('always'), { LABEL: 'always' }) },
+      {
+        ALT: () => {
+          this.CONSUME(W('from'));
+          this.CONSUME1(Num, { LABEL: 'widthLeast' });
+          this.CONSUME(W('to'));
+          this.CONSUME2(Num, { LABEL: 'widthMost' });
+          this.CONSUME(W('wide'));
+          this.OPTION2(() => {
+            this.CONSUME(W('giving'));
+            this.CONSUME(W('back'));
+            this.CONSUME2(W('in'));
+            this.CONSUME5(Duration, { LABEL: 'giveBack' });
+          });
+        },
+      },
+      {
+        ALT: () => {
+          this.CONSUME(W('head'));
+          this.CONSUME(W('room'));
+          this.CONSUME3(Num, { LABEL: 'headRoom' });
+        },
+      },
       {
         ALT: () => {
           this.CONSUME(W('id'));
