--- a/src/coordination/rooms.ts
+++ b/src/coordination/rooms.ts
@@ -111,26 +111,23 @@
   }
 
   /**
-   * The one with most free room of the smallest type that fits; machines of the job's cheaper kind first. Before any others
-   * come those that fetch nothing else just now: with every machine cold, four images at once on one machine took four
-   * times as long (seen: replicas a minute after their start).
+   * The one with most free room of the smallest type that fits; machines of the job's cheaper kind first. Among machines of one
+   * kind those come first that fetch nothing else just now: with every machine cold, four images at once on one machine took
+   * four times as long (seen: replicas a minute after their start).
    */
   mostFree(s: JobSpec, allowed: (room: Room) => boolean): Room | undefined {
     const calm = (r: Room): boolean =>
       r.fetching.size === 0 || (r.fetching.size === 1 && r.fetching.has(s.image));
-    return this.firstOf(s, (r) => calm(r) && allowed(r)) ?? this.firstOf(s, allowed);
-  }
-
-  private firstOf(s: JobSpec, allowed: (room: Room) => boolean): Room | undefined {
     let best: Room | undefined;
     for (const pool of this.pools.values()) {
       if (pool.spot && !s.spot) continue;
       if (!roomFor(pool.type, s) || (s.types !== null && !s.types.includes(pool.type.name))) continue;
       const order = best ? comparePools(pool, best.pool) : -1;
       if (order > 0) continue;
-      const found = this.topOf(pool, s, allowed);
+      const found = this.topOf(pool, s, (r) => calm(r) && allowed(r)) ?? this.topOf(pool, s, allowed);
       if (!found) continue;
-      if (!best || order < 0 || freer(found, best)) best = found;
+      const better = best && order === 0 && (calm(found) !== calm(best) ? calm(found) : freer(found, best));
+      if (!best || order < 0 || better) best = found;
     }
     return best;
   }
