--- /dev/null
+++ b/deploy/both.sexp
@@ -0,0 +1,2 @@
+(pipelines 1)
+(elastic 1)
