--- a/deploy/both.sexp
+++ /dev/null
@@ -1,2 +0,0 @@
-(pipelines 1)
-(elastic 1)
