--- a/test/elastic.test.ts
+++ b/test/elastic.test.ts
@@ -2,8 +2,9 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { decide, wantedWidths, type Decided, type ElasticView } from '../src/coordination/elastic/widths.js';
-import type { JobId, TeamName } from '../src/protocol/ids.js';
+import type { JobId } from '../src/protocol/ids.js';
 import type { JobSpec } from '../src/protocol/jobs.js';
+import { plainJob } from './standin/books.js';
 import { runScenario } from './standin/scenario.js';
 import { machineType, team, Universe } from './standin/universe.js';
 
@@ -99,29 +100,7 @@
 });
 
 const spec = (id: number, f: Partial<JobSpec>): JobSpec =>
-  ({
-    id: `req-${String(id).padStart(6, '0')}` as JobId,
-    class: 'c',
-    team: 'red' as TeamName,
-    kind: 'array',
-    priority: 'low',
-    tasks: 1,
-    cpus: 1,
-    gpus: 1,
-    memoryGb: 1,
-    image: 'img' as JobSpec['image'],
-    imageGb: 0,
-    types: null,
-    zone: null,
-    oneZone: false,
-    spread: false,
-    spot: false,
-    estimateS: 10,
-    checkpointS: 0,
-    saveS: 0,
-    deadlineS: null,
-    ...f,
-  }) as JobSpec;
+  plainJob(`req-${String(id).padStart(6, '0')}` as JobId, { priority: 'low', ...f });
 
 /** A live service takes capacity from an elastic job, again and again; with the holder ending in between where asked. */
 async function reclaims(
--- a/test/measure/elastic.ts
+++ b/test/measure/elastic.ts
@@ -1,7 +1,8 @@
 import { Command } from 'commander';
 import { build } from 'hdr-histogram-js';
-import type { ImageName, JobId, TeamName } from '../../src/protocol/ids.js';
+import type { JobId } from '../../src/protocol/ids.js';
 import type { JobSpec } from '../../src/protocol/jobs.js';
+import { plainJob } from '../standin/books.js';
 import { machineType, team, Universe } from '../standin/universe.js';
 
 /**
@@ -19,29 +20,14 @@
 const n = (key: string): number => Number(o[key]);
 const zones = ['a', 'b', 'c', 'd'];
 
-const job = (id: number, f: Partial<JobSpec>): JobSpec => ({
-  id: `req-${String(id).padStart(6, '0')}` as JobId,
-  class: f.kind === 'service' ? 'serve' : 'mosaic',
-  team: 'red' as TeamName,
-  kind: 'array',
-  priority: 'normal',
-  tasks: 1,
-  cpus: 10,
-  gpus: 1,
-  memoryGb: 36,
-  image: 'img' as ImageName,
-  imageGb: 0,
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: false,
-  estimateS: 40,
-  checkpointS: 0,
-  saveS: 0,
-  deadlineS: null,
-  ...f,
-});
+const job = (id: number, f: Partial<JobSpec>): JobSpec =>
+  plainJob(`req-${String(id).padStart(6, '0')}` as JobId, {
+    class: f.kind === 'service' ? 'serve' : 'mosaic',
+    cpus: 10,
+    memoryGb: 36,
+    estimateS: 40,
+    ...f,
+  });
 
 async function play(elastic: boolean): Promise<string> {
   const u = new Universe({
--- a/test/measure/pipelines.ts
+++ b/test/measure/pipelines.ts
@@ -1,7 +1,7 @@
 import { Command } from 'commander';
 import { build } from 'hdr-histogram-js';
 import { decodeAs } from '../../src/protocol/codec.js';
-import type { ImageName, JobId, PipelineId, TeamName } from '../../src/protocol/ids.js';
+import type { JobId, PipelineId, TeamName } from '../../src/protocol/ids.js';
 import { encodeSubmission, jobAnswer, type JobSpec } from '../../src/protocol/jobs.js';
 import {
   encodePipeline,
@@ -10,6 +10,7 @@
   type StepSpec,
 } from '../../src/protocol/pipelines.js';
 import { Paths, PipelinePaths } from '../../src/protocol/wire.js';
+import { plainJob } from '../standin/books.js';
 import { machineType, team, Universe } from '../standin/universe.js';
 
 /**
@@ -42,28 +43,12 @@
   [5, 6, 7, 8],
 ];
 
-const jobOf = (pipeline: number, step: number): JobSpec => ({
-  id: `req-${String(pipeline * 100 + step).padStart(9, '0')}` as JobId,
-  class: 'step',
-  team: `team-${pipeline % 10}` as TeamName,
-  kind: 'array',
-  priority: 'normal',
-  tasks: 1,
-  cpus: 1,
-  gpus: 1,
-  memoryGb: 1,
-  image: 'img' as ImageName,
-  imageGb: 0,
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: false,
-  estimateS: 4,
-  checkpointS: 0,
-  saveS: 0,
-  deadlineS: null,
-});
+const jobOf = (pipeline: number, step: number): JobSpec =>
+  plainJob(`req-${String(pipeline * 100 + step).padStart(9, '0')}` as JobId, {
+    class: 'step',
+    team: `team-${pipeline % 10}` as TeamName,
+    estimateS: 4,
+  });
 
 const pipelineOf = (p: number): PipelineSpec => ({
   id: `measured-${p}` as PipelineId,
--- a/test/standin/books.ts
+++ b/test/standin/books.ts
@@ -1,4 +1,4 @@
-import type { Mark, Term } from '../../src/protocol/ids.js';
+import type { ImageName, JobId, Mark, TeamName, Term } from '../../src/protocol/ids.js';
 import type { JobSpec } from '../../src/protocol/jobs.js';
 import type { Job, World } from '../../src/bookkeeping/world.js';
 import type { SteadyMs } from '../../src/transport/clock.js';
@@ -22,3 +22,28 @@
       undefined,
     ),
   );
+
+/** A job of one task of one card that may go anywhere; what matters to a test is said on top. */
+export const plainJob = (id: JobId, f: Partial<JobSpec> = {}): JobSpec => ({
+  id,
+  class: 'c',
+  team: 'red' as TeamName,
+  kind: 'array',
+  priority: 'normal',
+  tasks: 1,
+  cpus: 1,
+  gpus: 1,
+  memoryGb: 1,
+  image: 'img' as ImageName,
+  imageGb: 0,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  estimateS: 10,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+  ...f,
+});
