--- /dev/null
+++ b/test/regress/levels.ts
@@ -0,0 +1,126 @@
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import * as z from 'zod';
+
+/** A day of a deployment as one run of the bench played it; figures are simulated. */
+export interface PlayedDay {
+  readonly site: string;
+  readonly day: string;
+  readonly at: string;
+  readonly command: string;
+  readonly figure: number | null;
+  readonly broken: readonly string[];
+  readonly fault: string | null;
+  readonly restarts: number;
+}
+
+/** The last full scores that the project stands by: what a change is held against. */
+const levelsSchema = z.object({
+  recorded: z.string(),
+  sites: z.record(z.string(), z.object({ score: z.number(), days: z.record(z.string(), z.number()) })),
+});
+export type Levels = z.infer<typeof levelsSchema>;
+
+const entrySchema = z.object({
+  cmd: z.string(),
+  at: z.array(z.string()).min(1),
+  argv: z.array(z.string()),
+  site: z.string().nullish(),
+  score: z.number().nullish(),
+  error: z.unknown(),
+  days: z
+    .array(
+      z.object({
+        name: z.string(),
+        G: z.number().nullish(),
+        rules: z.record(z.string(), z.number()).nullish(),
+        fault: z.string().nullish(),
+        restarts: z.number().nullish(),
+      }),
+    )
+    .nullish(),
+});
+export type Entry = z.infer<typeof entrySchema>;
+
+/** Entries of the bench's journal, oldest first; what isn't one is passed over. */
+export function readJournal(folder: string): Entry[] {
+  const out: Entry[] = [];
+  for (const name of readdirSync(folder).sort()) {
+    if (!/^2.*\.json$/.test(name)) continue;
+    const entry = entrySchema.safeParse(JSON.parse(readFileSync(join(folder, name), 'utf8')));
+    if (entry.success) out.push(entry.data);
+  }
+  return out;
+}
+
+/** Days drawn for one run alone have no earlier figure to be held against. */
+export const isStanding = (day: string): boolean => /^[a-z]+$/i.test(day);
+
+export function daysOf(entry: Entry): PlayedDay[] {
+  if (!entry.site) return [];
+  return (entry.days ?? []).map((d) => ({
+    site: entry.site!,
+    day: d.name,
+    at: entry.at[0]!,
+    command: entry.cmd,
+    figure: d.G ?? null,
+    broken: Object.entries(d.rules ?? {})
+      .filter(([, n]) => n > 0)
+      .map(([rule, n]) => `${rule} ${n}`),
+    fault: d.fault ?? null,
+    restarts: d.restarts ?? 0,
+  }));
+}
+
+export const parseLevels = (text: string): Levels => levelsSchema.parse(JSON.parse(text));
+
+const isFullScore = (e: Entry): boolean =>
+  e.cmd === 'score' && !e.argv.includes('--quick') && typeof e.score === 'number' && !!e.site;
+
+/** The newest full score of each site becomes its level; sites without one keep what they had. */
+export function levelsFrom(entries: readonly Entry[], before: Levels | undefined): Levels {
+  const sites = { ...before?.sites };
+  let recorded = before?.recorded ?? '';
+  for (const e of entries) {
+    if (!isFullScore(e)) continue;
+    const days = daysOf(e).filter((d) => isStanding(d.day) && d.figure !== null);
+    sites[e.site!] = { score: e.score!, days: Object.fromEntries(days.map((d) => [d.day, d.figure!])) };
+    if (e.at[0]! > recorded) recorded = e.at[0]!;
+  }
+  return { recorded, sites };
+}
+
+/** Figures that differ by less say nothing. */
+export const NOISE = 0.03;
+
+export interface Finding {
+  readonly line: string;
+  readonly broken: boolean;
+  readonly fell: boolean;
+}
+
+/**
+ * What a run's days say against the levels. A broken rule, a day that could not be played and a process that ended by
+ * itself are findings whatever the figure; a fall is one only beyond noise, and to be played again before it is believed.
+ */
+export function judge(days: readonly PlayedDay[], levels: Levels | undefined): Finding[] {
+  return days.map((d) => {
+    const level = isStanding(d.day) ? levels?.sites[d.site]?.days[d.day] : undefined;
+    const fell = level !== undefined && d.figure !== null && d.figure < level - NOISE;
+    const broken = d.broken.length > 0 || d.fault !== null;
+    const notes = [
+      ...(d.broken.length > 0 ? [`RULES BROKEN: ${d.broken.join(', ')}`] : []),
+      ...(d.fault !== null ? [`FAILED: ${d.fault}`] : []),
+      ...(d.restarts > 0 ? [`ended by itself ${d.restarts} times`] : []),
+      ...(fell ? ['FELL: play it again beside the earlier sources'] : []),
+    ];
+    const cells = [
+      d.site.padEnd(24),
+      d.day.padEnd(12),
+      d.figure === null ? '  -  ' : d.figure.toFixed(3),
+      level === undefined ? 'level   -  ' : `level ${level.toFixed(3)}`,
+      ...notes,
+    ];
+    return { line: cells.join('  ').trimEnd(), broken, fell };
+  });
+}
--- /dev/null
+++ b/test/regress/main.ts
@@ -0,0 +1,95 @@
+import { spawnSync } from 'node:child_process';
+import { existsSync, readFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { Argument, Command } from 'commander';
+import { daysOf, isStanding, judge, levelsFrom, parseLevels, readJournal, type Levels } from './levels.js';
+
+/**
+ * The regression on the users' bench, run from the project's root. It needs the users' kit, which is no part of this
+ * repository, and says so where there is none.
+ */
+const LEVELS = 'docs/levels.json';
+const JOURNAL = 'journal';
+const NO_KIT = 3;
+
+const site = (folder: string, deployment: string, kind: string): string =>
+  join(folder, `${deployment}${kind === '' ? '' : `-${kind}`}.toml`);
+const both = (folder: string, kind: string): string[] =>
+  ['merrowick-tiles', 'sahulat-cal'].map((d) => site(folder, d, kind));
+
+interface Options {
+  readonly kit: string;
+  readonly why: string;
+  readonly days: string;
+  readonly record: boolean;
+}
+
+function run(bench: string, args: readonly string[]): void {
+  process.stdout.write(`${[bench, ...args].join(' ')}\n`);
+  const done = spawnSync(bench, args, { stdio: 'inherit' });
+  if (done.error) throw done.error;
+}
+
+function play(mode: string, o: Options): void {
+  const bench = join(o.kit, 'more', 'fleet', 'bin', 'fleetbench');
+  if (!existsSync(bench)) {
+    process.stderr.write(`regress: no bench at ${bench}: name the users' kit with --kit\n`);
+    process.exit(NO_KIT);
+  }
+  const fleet = both(join(o.kit, 'more', 'fleet'), 'fleet');
+  const four = [...both(join(o.kit, 'next'), 'grown'), ...both(join(o.kit, 'lean'), 'lean')];
+  const first = both(join(o.kit, 'sites'), '');
+  const why = ['--why', o.why];
+  if (mode === 'quick') run(bench, ['score', ...four, '--quick', ...why]);
+  if (mode === 'fleet') run(bench, ['score', ...fleet, '--quick', ...why]);
+  if (mode === 'full') {
+    const all = [...fleet, ...four, ...first];
+    run(bench, ['score', ...all, ...why]);
+    for (const s of all) run(bench, ['hunt', s, '--days', o.days]);
+  }
+}
+
+function readLevels(): Levels | undefined {
+  return existsSync(LEVELS) ? parseLevels(readFileSync(LEVELS, 'utf8')) : undefined;
+}
+
+function table(from: string): boolean {
+  const entries = readJournal(JOURNAL).filter((e) => e.at[0]! >= from);
+  // Without a run of its own, the table shows the newest figure of each standing day.
+  const newest = new Map(
+    entries
+      .flatMap(daysOf)
+      .filter((d) => from !== '' || (isStanding(d.day) && d.command === 'score'))
+      .map((d) => [`${d.site}/${d.day}/${d.command}`, d]),
+  );
+  const findings = judge([...newest.values()], readLevels());
+  for (const f of findings) process.stdout.write(`${f.line}\n`);
+  const count = (n: number, what: string): string => `${n} ${what}`;
+  process.stdout.write(
+    `${count(findings.length, 'days')}, ${count(findings.filter((f) => f.fell).length, 'fell')}, ` +
+      `${count(findings.filter((f) => f.broken).length, 'broken or failed')}\n`,
+  );
+  return findings.some((f) => f.broken);
+}
+
+new Command('regress')
+  .description("plays the users' bench and holds its days against the last full scores")
+  .addArgument(new Argument('<mode>', 'what to play').choices(['quick', 'fleet', 'full', 'table']))
+  .option('--kit <folder>', "the users' kit", join('..', 'given', 'kit'))
+  .option('--why <text>', 'what was changed, and what is expected', 'Regression before a landing')
+  .option('--days <n>', 'hunted days of each site, with full', '2')
+  .option('--record', 'write the newest full scores to docs/levels.json')
+  .action((mode: string, o: Options) => {
+    const from =
+      mode === 'table' ? '' : new Date(Math.floor(Date.now() / 1000) * 1000).toISOString().slice(0, 19);
+    if (mode !== 'table') play(mode, o);
+    const broken = table(from);
+    if (o.record) {
+      writeFileSync(
+        LEVELS,
+        `${JSON.stringify(levelsFrom(readJournal(JOURNAL), readLevels()), undefined, 2)}\n`,
+      );
+    }
+    process.exitCode = broken ? 1 : 0;
+  })
+  .parse();
