--- a/src/bookkeeping/card-seconds.ts
+++ b/src/bookkeeping/card-seconds.ts
@@ -63,7 +63,12 @@
   }
 
   /** A look at all machines: what nobody uses, since the last look. */
-  look(world: World, types: ReadonlyMap<TypeName, MachineType>, workWaits: boolean, now: SteadyMs): void {
+  look(
+    world: Pick<World, 'machines'>,
+    types: ReadonlyMap<TypeName, MachineType>,
+    workWaits: boolean,
+    now: SteadyMs,
+  ): void {
     const since = this.lookedAt;
     this.lookedAt = now;
     if (since === undefined) return;
--- /dev/null
+++ b/src/bookkeeping/counts.ts
@@ -0,0 +1,41 @@
+import type { TaskIndex, TeamName } from '../protocol/ids.js';
+
+import type { Job, Use } from './entities.js';
+import type { World } from './world.js';
+
+/** Waiting tasks in order, at most `limit`. */
+export function waitingTasks(job: Job, limit: number): TaskIndex[] {
+  const out: TaskIndex[] = [];
+  let first = true;
+  for (let i = job.cursor; i < job.spec.tasks && out.length < limit; i++) {
+    if (job.done.has(i) || job.placements.has(i as TaskIndex)) continue;
+    if (first) {
+      job.cursor = i;
+      first = false;
+    }
+    out.push(i as TaskIndex);
+  }
+  if (first) job.cursor = Math.max(job.cursor, out.length === 0 && limit > 0 ? job.spec.tasks : job.cursor);
+  return out;
+}
+
+/** Tasks of the job that wait for a place. */
+export const waitingCount = (job: Job): number =>
+  job.parked ? 0 : job.spec.tasks - job.done.count - job.placements.size;
+
+/** The quota ledger: what each team's tasks use, counting all that is possibly on a machine. */
+export function teamUse(world: Pick<World, 'use' | 'estranged' | 'jobs'>): Map<TeamName, Use> {
+  const use = new Map<TeamName, Use>();
+  for (const [team, u] of world.use) use.set(team, { ...u });
+  for (const machine of world.estranged) {
+    for (const s of machine.strangers) {
+      const spec = world.jobs.get(s.job)?.spec;
+      if (!spec) continue;
+      const u = use.get(spec.team) ?? { cpus: 0, gpus: 0 };
+      u.cpus += spec.cpus;
+      u.gpus += spec.gpus;
+      use.set(spec.team, u);
+    }
+  }
+  return use;
+}
--- a/src/bookkeeping/world.ts
+++ b/src/bookkeeping/world.ts
@@ -1,6 +1,5 @@
 import type { SteadyMs } from '../transport/clock.js';
 import type {
-  Address,
   Attempt,
   ImageName,
   JobId,
@@ -16,132 +15,21 @@
   TypeName,
   ZoneName,
 } from '../protocol/ids.js';
-import type { JobSpec } from '../protocol/jobs.js';
-import type { Cause, TaskState } from '../protocol/wire.js';
-import type { ReportedTask } from '../protocol/workers.js';
 import { CardSeconds } from './card-seconds.js';
 import { DoneSet, type Row } from './records.js';
 
-/**
- * What the term's holder knows: jobs, machines, and what may be on them. A task is *possibly on* its
- * machine from the commit of its plan until there is proof that it isn't; silence is no proof.
- */
-export interface Placement {
-  readonly job: Job;
-  readonly index: TaskIndex;
-  readonly attempt: Attempt;
-  readonly machine: Machine;
-  readonly session: Session;
-  readonly plan: PlanId;
-  readonly since: SteadyMs;
-  /** Number of the report whose answer carried the start. */
-  sentSeq: Seq | undefined;
-  /**
-   * A start sent to the worker's own address: `flying` until it is answered, `floating` when it never was.
-   * Such a start may run minutes later, so absence proves nothing until the worker obeys a higher token.
-   */
-  order: 'flying' | 'floating' | undefined;
-  /** The token it was sent under: a worker that obeys a higher one drops it. */
-  orderTerm: Term | undefined;
-  /** True once a report showed the task under this session. */
-  seen: boolean;
-  state: TaskState | undefined;
-  /** When its worker first showed it, and first showed it with its image. */
-  shownSince: SteadyMs | undefined;
-  fetchedSince: SteadyMs | undefined;
-  runningSince: SteadyMs | undefined;
-  /** It was stopped with its progress saved. */
-  saved: boolean;
-  stop: { graceS: number; readonly why: string; readonly at: SteadyMs; ordered: boolean } | undefined;
-  /** Proven off the machine; waits for the store to hold its end. */
-  ended: { readonly how: 'done' | Cause | 'gone' | 'unsent'; readonly at: SteadyMs } | undefined;
-}
-
-export interface Job {
-  readonly id: JobId;
-  readonly spec: JobSpec;
-  row: Row;
-  mark: Mark;
-  readonly done: DoneSet;
-  readonly placements: Map<TaskIndex, Placement>;
-  /** No waiting task has a lower index. */
-  cursor: number;
-  readonly acceptedAt: SteadyMs;
-  cancelledAt: SteadyMs | undefined;
-  /** Faults in a row, for backing off. */
-  errors: number;
-  /** Faults in all that this holder saw. */
-  faults: number;
-  /** Given up for now: its tasks are not placed, and it claims nothing of its team's guarantee. */
-  parked: boolean;
-  notBefore: SteadyMs;
-  /** Machines that refused or failed a task of this job lately. */
-  readonly avoid: Map<MachineId, SteadyMs>;
-  /** Finish records of this job alone that exist in the store. */
-  readonly finishChunks: Set<number>;
-  /** Shared finish records in the store that mention this job. */
-  readonly finishNotes: Set<StoreKey>;
-  everStarted: boolean;
-}
-
-export interface Stranger {
-  readonly job: JobId;
-  readonly index: TaskIndex;
-}
-
-export interface Machine {
-  readonly id: MachineId;
-  address: Address | undefined;
-  readonly type: TypeName;
-  readonly zone: ZoneName;
-  readonly spot: boolean;
-  state: 'booting' | 'up' | 'returning' | 'gone';
-  session: Session;
-  seq: Seq;
-  /** Its newest report carried this term's token: nothing an older holder sent can still run. */
-  trusted: boolean;
-  trustedAt: SteadyMs;
-  /** Rented under this term: no older holder can have sent it anything. */
-  own: boolean;
-  lastReport: SteadyMs | undefined;
-  readonly firstKnown: SteadyMs;
-  /** Since when it should be reporting. */
-  upSince: SteadyMs;
-  readonly rentedAt: SteadyMs;
-  listed: boolean;
-  noticeAt: SteadyMs | undefined;
-  suspectUntil: SteadyMs;
-  errors: number;
-  idleSince: SteadyMs;
-  readonly placements: Set<Placement>;
-  /** What its live placements take together, and how many they are. Kept by `World` alone. */
-  readonly used: { cpus: number; gpus: number; memoryGb: number; tasks: number; services: number };
-  /** Tasks reported that no live plan put there and that have not exited. */
-  strangers: readonly Stranger[];
-  /** A round that is being committed puts tasks here; it must not be returned as idle meanwhile. */
-  rounds: number;
-  /** Images seen running here, oldest first, with their sizes. */
-  readonly images: Map<ImageName, number>;
-  /**
-   * Tasks of a report that agreed with the books and called for nothing. The same ones again do so too, until
-   * something changes here for this machine. Kept by `World` and the loop that matches reports.
-   */
-  calm: readonly ReportedTask[] | undefined;
-  returnAt: SteadyMs | undefined;
-  probedAt: SteadyMs | undefined;
-}
+import type { Placement, Job, Stranger, Machine, PlanState, Use } from './entities.js';
 
-export interface PlanState {
-  readonly id: PlanId;
-  /** Tasks of it not settled yet. */
-  open: number;
-  /** Shared finish records that say which of its tasks went back to waiting. */
-  readonly notes: Set<StoreKey>;
-}
+export type { Placement, Job, Stranger, Machine, PlanState, Use } from './entities.js';
+export { teamUse, waitingCount, waitingTasks } from './counts.js';
 
 /** News of a row come within seconds of its end, so the last few thousand are enough to know. */
 const ENDED_KEPT = 10_000;
 
+/**
+ * What the term's holder knows: jobs, machines, and what may be on them. A task is *possibly on* its
+ * machine from the commit of its plan until there is proof that it isn't; silence is no proof.
+ */
 export class World {
   readonly jobs = new Map<JobId, Job>();
   readonly machines = new Map<MachineId, Machine>();
@@ -478,45 +366,3 @@
   for (const p of m.placements) if (!p.ended && p.job.spec.image === image) return true;
   return false;
 };
-
-/** Waiting tasks in order, at most `limit`. */
-export function waitingTasks(job: Job, limit: number): TaskIndex[] {
-  const out: TaskIndex[] = [];
-  let first = true;
-  for (let i = job.cursor; i < job.spec.tasks && out.length < limit; i++) {
-    if (job.done.has(i) || job.placements.has(i as TaskIndex)) continue;
-    if (first) {
-      job.cursor = i;
-      first = false;
-    }
-    out.push(i as TaskIndex);
-  }
-  if (first) job.cursor = Math.max(job.cursor, out.length === 0 && limit > 0 ? job.spec.tasks : job.cursor);
-  return out;
-}
-
-export interface Use {
-  cpus: number;
-  gpus: number;
-}
-
-/** Tasks of the job that wait for a place. */
-export const waitingCount = (job: Job): number =>
-  job.parked ? 0 : job.spec.tasks - job.done.count - job.placements.size;
-
-/** The quota ledger: what each team's tasks use, counting all that is possibly on a machine. */
-export function teamUse(world: World): Map<TeamName, Use> {
-  const use = new Map<TeamName, Use>();
-  for (const [team, u] of world.use) use.set(team, { ...u });
-  for (const machine of world.estranged) {
-    for (const s of machine.strangers) {
-      const spec = world.jobs.get(s.job)?.spec;
-      if (!spec) continue;
-      const u = use.get(spec.team) ?? { cpus: 0, gpus: 0 };
-      u.cpus += spec.cpus;
-      u.gpus += spec.gpus;
-      use.set(spec.team, u);
-    }
-  }
-  return use;
-}
--- a/src/commands.ts
+++ b/src/commands.ts
@@ -1,6 +1,6 @@
 import { Command, CommanderError } from 'commander';
 import type { Result } from './transport/result.js';
-import { cancelJob, explainRemote, showJob, submitJob } from './coordination/client.js';
+import { cancelJob, explainRemote, showJob, submitJob } from './coordination/users/client.js';
 import { OPS } from './coordination/controller.js';
 import { EXIT, fail, loadAll, read } from './files.js';
 
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -16,13 +16,13 @@
 import { Cloud } from '../bookkeeping/cloud.js';
 import { Mirror } from '../bookkeeping/mirror.js';
 import { Store } from '../bookkeeping/store.js';
-import { explainJob } from './explain.js';
+import { explainJob } from './explain/explain.js';
 import { Holder } from './holder.js';
-import { Peers } from './peers.js';
+import { Peers } from './term/peers.js';
 import type { Pipelines, PipelinesDeps } from './pipelines/index.js';
-import { TermKeeper } from './term.js';
-import { TypeBook } from './types.js';
-import { Users } from './users.js';
+import { TermKeeper } from './term/term.js';
+import { TypeBook } from './fleet/types.js';
+import { Users } from './users/users.js';
 
 export interface ControllerDeps {
   readonly settings: Settings;
--- a/src/coordination/elastic/index.ts
+++ b/src/coordination/elastic/index.ts
@@ -6,7 +6,7 @@
 import type { JobSpec } from '../../protocol/jobs.js';
 import type { Settings, TeamLimits } from '../../protocol/settings.js';
 import type { Job, Placement, World } from '../../bookkeeping/world.js';
-import type { Unplaced } from '../planner.js';
+import type { Unplaced } from '../rounds/snapshot.js';
 import { decide, wantedWidths, type Decided, type ElasticView } from './widths.js';
 import { Reclaims } from './reclaims.js';
 
--- a/src/coordination/explain.ts
+++ b/src/coordination/explain/explain.ts
@@ -1,13 +1,15 @@
-import type { Clock, SteadyMs } from '../transport/clock.js';
-import type { JobId, TeamName, TypeName } from '../protocol/ids.js';
-import type { MachineType } from '../protocol/cloud.js';
-import type { TeamLimits } from '../protocol/settings.js';
-import { teamUse, type Job, type World } from '../bookkeeping/world.js';
-import { fitsType, type Unplaced } from './planner.js';
+import type { Clock, SteadyMs } from '../../transport/clock.js';
+import type { JobId, TeamName, TypeName } from '../../protocol/ids.js';
+import type { MachineType } from '../../protocol/cloud.js';
+import type { TeamLimits } from '../../protocol/settings.js';
+import { teamUse, type Job } from '../../bookkeeping/world.js';
+import { fitsType } from '../rounds/eligibility.js';
+import { type Unplaced } from '../rounds/snapshot.js';
+import type { ExplainedWorld } from '../views.js';
 
 export interface ExplainContext {
   readonly clock: Clock;
-  readonly world: World;
+  readonly world: ExplainedWorld;
   readonly unplaced: readonly Unplaced[];
   readonly types: ReadonlyMap<TypeName, MachineType>;
   readonly teams: ReadonlyMap<TeamName, TeamLimits>;
--- a/src/coordination/consolidate.ts
+++ b/src/coordination/fleet/consolidate.ts
@@ -1,12 +1,14 @@
-import type { SteadyMs } from '../transport/clock.js';
-import type { MachineType } from '../protocol/cloud.js';
-import type { TypeName, ZoneName } from '../protocol/ids.js';
-import type { Machine, Placement, World } from '../bookkeeping/world.js';
-import { roomFor, usable, zoneAllowed } from './planner.js';
+import type { SteadyMs } from '../../transport/clock.js';
+import type { MachineType } from '../../protocol/cloud.js';
+import type { TypeName, ZoneName } from '../../protocol/ids.js';
+import type { Machine, Placement } from '../../bookkeeping/world.js';
+import { usable, zoneAllowed } from '../rounds/eligibility.js';
+import { roomFor } from '../rounds/rooms.js';
+import type { FleetWorld } from '../views.js';
 
 export interface MoveSnapshot {
   readonly now: SteadyMs;
-  readonly world: World;
+  readonly world: FleetWorld;
   readonly types: ReadonlyMap<TypeName, MachineType>;
   /** Machines that stay whatever runs on them: emptying them saves nothing. */
   readonly standing: ReadonlySet<string>;
--- a/src/coordination/fleet-planner.ts
+++ b/src/coordination/fleet/fleet-planner.ts
@@ -1,17 +1,20 @@
-import type { SteadyMs } from '../transport/clock.js';
-import type { MachineType } from '../protocol/cloud.js';
-import type { MachineId, TypeName, ZoneName } from '../protocol/ids.js';
-import type { Estimates } from '../bookkeeping/estimates.js';
-import type { Job, Machine, World } from '../bookkeeping/world.js';
-import type { JobSpec } from '../protocol/jobs.js';
-import { fitsType, roomFor, zoneAllowed, type Unplaced, type WaitReason } from './planner.js';
+import type { SteadyMs } from '../../transport/clock.js';
+import type { MachineType } from '../../protocol/cloud.js';
+import type { MachineId, TypeName, ZoneName } from '../../protocol/ids.js';
+import type { Estimates } from '../../bookkeeping/estimates.js';
+import type { Job, Machine } from '../../bookkeeping/world.js';
+import type { JobSpec } from '../../protocol/jobs.js';
+import { fitsType, zoneAllowed } from '../rounds/eligibility.js';
+import { roomFor } from '../rounds/rooms.js';
+import { type Unplaced, type WaitReason } from '../rounds/snapshot.js';
 import { Releases } from './releases.js';
+import type { FleetWorld } from '../views.js';
 
 export interface FleetSnapshot {
   readonly now: SteadyMs;
   /** Time since then in which this process could hear. */
   readonly silentMs: (then: SteadyMs) => number;
-  readonly world: World;
+  readonly world: FleetWorld;
   readonly types: ReadonlyMap<TypeName, MachineType>;
   readonly unplaced: readonly Unplaced[];
   /** When that was found out: what has come since is not in it. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet/fleet.ts
@@ -1,26 +1,36 @@
-import type { Attention } from '../transport/attention.js';
-import { Rank } from '../transport/budget.js';
-import { plus, sleep, type Clock, type SteadyMs } from '../transport/clock.js';
-import type { HttpClient } from '../transport/http.js';
-import type { Log } from '../transport/log.js';
-import { jitter, type Random } from '../transport/random.js';
-import type { Hire, ListedMachine } from '../protocol/cloud.js';
-import { NO_MARK, type MachineId, type TeamName, type ZoneName } from '../protocol/ids.js';
-import type { Operator } from '../protocol/operator.js';
-import type { Settings, TeamLimits } from '../protocol/settings.js';
-import { Paths } from '../protocol/wire.js';
-import { fits, Keys, packNames, seal, standingSchema, unpackNames, unseal } from '../bookkeeping/records.js';
-import type { Store } from '../bookkeeping/store.js';
-import { LIST_PAGE, RETURN_MOST, type Cloud } from '../bookkeeping/cloud.js';
-import type { Estimates } from '../bookkeeping/estimates.js';
-import type { Machine, World } from '../bookkeeping/world.js';
-import type { Elastic } from './elastic/index.js';
-import { graceOf as elasticGraceOf } from './elastic/reclaims.js';
+import type { Attention } from '../../transport/attention.js';
+import { Rank } from '../../transport/budget.js';
+import { plus, sleep, type Clock, type SteadyMs } from '../../transport/clock.js';
+import type { HttpClient } from '../../transport/http.js';
+import type { Log } from '../../transport/log.js';
+import { jitter, type Random } from '../../transport/random.js';
+import type { Hire, ListedMachine } from '../../protocol/cloud.js';
+import { NO_MARK, type MachineId, type TeamName, type ZoneName } from '../../protocol/ids.js';
+import type { Operator } from '../../protocol/operator.js';
+import type { Settings, TeamLimits } from '../../protocol/settings.js';
+import {
+  fits,
+  Keys,
+  packNames,
+  seal,
+  standingSchema,
+  unpackNames,
+  unseal,
+} from '../../bookkeeping/records.js';
+import type { Store } from '../../bookkeeping/store.js';
+import { LIST_PAGE, RETURN_MOST, type Cloud } from '../../bookkeeping/cloud.js';
+import type { Estimates } from '../../bookkeeping/estimates.js';
+import type { Machine } from '../../bookkeeping/world.js';
+import type { Elastic } from '../elastic/index.js';
+import { graceOf as elasticGraceOf } from '../elastic/reclaims.js';
 import { planMoves } from './consolidate.js';
+import { Silence } from './silence.js';
 import { kindKey, LOST_BOOT, planFleet } from './fleet-planner.js';
-import { graceOf, type Unplaced } from './planner.js';
-import type { HeldTerm, TermKeeper } from './term.js';
+import { type Unplaced } from '../rounds/snapshot.js';
+import { graceOf } from '../rounds/stops.js';
+import type { HeldTerm, TermKeeper } from '../term/term.js';
 import type { TypeBook } from './types.js';
+import type { FleetWorld } from '../views.js';
 
 export interface FleetDeps {
   readonly clock: Clock;
@@ -43,8 +53,6 @@
 const TICK_MS = 500;
 /** Between two lists, for each page of the last: a big fleet's list is many calls. */
 const LIST_MS = 2000;
-/** Looks at silent machines per tick: a cut zone is hundreds. */
-const MOST_LOOKS = 100;
 const REFUSED_MS = 8000;
 /** Between two looks for replicas that could share a machine. */
 const MOVE_MS = 3000;
@@ -58,21 +66,21 @@
   private readonly pending = new Set<Hire>();
   private readonly returning = new Set<MachineId>();
   private readonly since: SteadyMs;
-  private readonly heardBefore: ReadonlyMap<ZoneName, SteadyMs>;
+  private readonly silence: Silence;
   private readonly finishWithin = new Map<string, number>();
 
   constructor(
     private readonly d: FleetDeps,
-    private readonly world: World,
+    private readonly world: FleetWorld,
     private readonly live: () => boolean,
     private readonly estimates: Estimates,
     private readonly planned: () => { readonly unplaced: readonly Unplaced[]; readonly at: SteadyMs },
-    private readonly quietZones: () => ReadonlySet<ZoneName>,
+    quietZones: () => ReadonlySet<ZoneName>,
     private readonly wake: () => void,
     private readonly elastic?: Elastic | undefined,
   ) {
     this.since = d.clock.now();
-    this.heardBefore = new Map(d.zonesHeardBefore);
+    this.silence = new Silence(d, world, live, quietZones);
     for (const o of d.settings.objectives) {
       if (o.kind !== 'finished' || o.class === undefined || o.withinS === undefined) continue;
       this.finishWithin.set(o.class, Math.min(o.withinS, this.finishWithin.get(o.class) ?? Infinity));
@@ -97,7 +105,8 @@
     const now = d.clock.now();
     this.watchCancelled(now);
     this.watchNotices(now);
-    this.watchSilence(now);
+    const silent = this.silence.watch(now, this.returning);
+    if (silent.length > 0) void this.giveBack(silent, 'silent');
     this.watchReclaims(now);
     world.cardSeconds.look(world, d.types.all(), this.workWaits(), now);
     this.logState(now);
@@ -424,101 +433,4 @@
       }
     }
   }
-
-  /** Silent machines that didn't answer a look either, to be returned together. */
-  private readonly fenced = new Set<MachineId>();
-
-  /**
-   * Silence proves nothing: another node may be renewing the worker's lease. A machine that is silent and
-   * doesn't answer a look either is fenced by returning it. What else is silent says whose fault it is: a
-   * machine alone is dead or hangs; most of a zone is cut off, and is back in a while, but its replicas end with
-   * their leases, so only machines with replicas are given up before; all zones at once point at this node's
-   * own network, and then only machines past any lease are given up.
-   */
-  private watchSilence(now: SteadyMs): void {
-    const { d, world } = this;
-    const { reportS, leaseS } = d.settings.workers;
-    const fence =
-      d.operator.silentFenceS > 0 ? d.operator.silentFenceS * 1000 : Math.max(2500 * reportS, 12_000);
-    const pastLease = 1.5 * fence + leaseS * 1000;
-    // What this process was too late to read isn't a machine's silence.
-    const quiet = (m: Machine): number => d.attention.since(this.heardLast(m));
-    const zones = new Map<ZoneName, { up: number; silent: Machine[] }>();
-    for (const m of world.machines.values()) {
-      if (m.state !== 'up') continue;
-      const zone = zones.get(m.zone) ?? { up: 0, silent: [] };
-      zones.set(m.zone, zone);
-      zone.up++;
-      if (quiet(m) > fence) zone.silent.push(m);
-    }
-    // A cut shows in the whole zone at once, long before a third of its machines have been late for long.
-    const hushed = this.quietZones();
-    const isCut = (z: { up: number; silent: Machine[] }, zone: ZoneName): boolean =>
-      hushed.has(zone) || (z.silent.length > 2 && z.silent.length * 3 > z.up);
-    const cut = [...zones].filter(([name, z]) => isCut(z, name)).length;
-    const everywhere = cut > 1 && cut * 2 > zones.size;
-    let looks = MOST_LOOKS;
-    for (const [name, zone] of zones) {
-      const inCut = isCut(zone, name);
-      zone.silent.sort((a, b) => b.used.services - a.used.services);
-      for (const m of zone.silent) {
-        if (looks <= 0) break;
-        if (this.returning.has(m.id) || this.fenced.has(m.id)) continue;
-        const patience = !inCut
-          ? fence
-          : !everywhere && m.used.services > 0
-            ? Math.max(fence, leaseS * 850)
-            : holdsGang(m) || everywhere
-              ? pastLease
-              : Math.max(pastLease, leaseS * 3000);
-        if (quiet(m) < patience) continue;
-        if (m.placements.size === 0 && m.strangers.length === 0 && quiet(m) < 3 * fence) continue;
-        if (m.probedAt !== undefined && now - m.probedAt < 3000) continue;
-        m.probedAt = now;
-        looks--;
-        void this.probe(m, quiet(m), fence);
-      }
-    }
-    if (this.fenced.size > 0) {
-      const names = [...this.fenced].slice(0, RETURN_MOST);
-      for (const id of names) this.fenced.delete(id);
-      // Some may have spoken since.
-      void this.giveBack(
-        names.filter((id) => world.machines.get(id)?.probedAt !== undefined),
-        'silent',
-      );
-    }
-  }
-
-  /**
-   * Since when nothing can have come from a machine. One that ran work when this term began, and has said nothing since, was
-   * heard by the holder before at the latest when its zone was: a zone that was cut off before a take-over isn't counted as
-   * silent from the take-over on (seen: its replicas' leases ended ten seconds before its machines were given up).
-   */
-  private heardLast(m: Machine): SteadyMs {
-    if (m.lastReport !== undefined) return m.lastReport > this.since ? m.lastReport : this.since;
-    const before = this.heardBefore.get(m.zone);
-    const known = m.firstKnown <= this.since && m.placements.size > 0;
-    if (known && before !== undefined && before < this.since) return before;
-    return (m.upSince > this.since ? m.upSince : this.since) as SteadyMs;
-  }
-
-  private async probe(m: Machine, quietMs: number, fence: number): Promise<void> {
-    const { d } = this;
-    const reply = m.address
-      ? await d.http.call(m.address, 'GET', Paths.inspect, undefined, 1500)
-      : ({ ok: false } as const);
-    if (!this.live() || !d.term.canDecide() || this.world.machines.get(m.id) !== m) return;
-    if (m.probedAt === undefined) return; // It reported meanwhile.
-    const answers = reply.ok && reply.value.status === 200;
-    // Alive but unable to reach this node: its tasks run on, up to the lease that nobody renews.
-    if (answers && quietMs < fence + d.settings.workers.leaseS * 1000) return;
-    d.log.info('machine-silent', { machine: m.id, quietMs: Math.round(quietMs), answers });
-    this.fenced.add(m.id);
-  }
-}
-
-function holdsGang(m: Machine): boolean {
-  for (const p of m.placements) if (!p.ended && p.job.spec.kind === 'gang') return true;
-  return false;
 }
--- a/src/coordination/releases.ts
+++ b/src/coordination/fleet/releases.ts
@@ -1,9 +1,10 @@
-import type { SteadyMs } from '../transport/clock.js';
-import type { MachineType } from '../protocol/cloud.js';
-import type { ImageName, TypeName, ZoneName } from '../protocol/ids.js';
-import type { JobSpec } from '../protocol/jobs.js';
-import type { Estimates } from '../bookkeeping/estimates.js';
-import type { Job, World } from '../bookkeeping/world.js';
+import type { SteadyMs } from '../../transport/clock.js';
+import type { MachineType } from '../../protocol/cloud.js';
+import type { ImageName, TypeName, ZoneName } from '../../protocol/ids.js';
+import type { JobSpec } from '../../protocol/jobs.js';
+import type { Estimates } from '../../bookkeeping/estimates.js';
+import type { Job } from '../../bookkeeping/world.js';
+import type { FleetWorld } from '../views.js';
 
 /** Room that running work of one size, on machines of one kind, gives back within the same second. */
 interface Group {
@@ -26,7 +27,7 @@
   private readonly groups: Group[];
 
   constructor(
-    world: World,
+    world: FleetWorld,
     types: ReadonlyMap<TypeName, MachineType>,
     estimates: Estimates,
     now: SteadyMs,
--- a/src/coordination/types.ts
+++ b/src/coordination/fleet/types.ts
@@ -1,13 +1,13 @@
-import { Rank } from '../transport/budget.js';
-import { sleep, type Clock } from '../transport/clock.js';
-import type { Log } from '../transport/log.js';
-import { jitter, type Random } from '../transport/random.js';
-import { catalogSchema, encodeCatalog, type MachineType } from '../protocol/cloud.js';
-import { decode, parse } from '../protocol/codec.js';
-import type { TypeName } from '../protocol/ids.js';
-import type { Cloud } from '../bookkeeping/cloud.js';
-import { checksum, Keys, seal, unseal } from '../bookkeeping/records.js';
-import type { Store } from '../bookkeeping/store.js';
+import { Rank } from '../../transport/budget.js';
+import { sleep, type Clock } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import { jitter, type Random } from '../../transport/random.js';
+import { catalogSchema, encodeCatalog, type MachineType } from '../../protocol/cloud.js';
+import { decode, parse } from '../../protocol/codec.js';
+import type { TypeName } from '../../protocol/ids.js';
+import type { Cloud } from '../../bookkeeping/cloud.js';
+import { checksum, Keys, seal, unseal } from '../../bookkeeping/records.js';
+import type { Store } from '../../bookkeeping/store.js';
 import * as z from 'zod';
 
 const REFRESH_MS = 30_000;
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -6,20 +6,20 @@
 import type { MirroredRow } from '../bookkeeping/mirror.js';
 import { withGeneration } from '../bookkeeping/records.js';
 import type { Job, World } from '../bookkeeping/world.js';
-import { Collecting } from './collecting.js';
-import { commandContext, handleReport } from './command.js';
+import { Collecting } from './settling/collecting.js';
+import { commandContext, handleReport } from './orders/reports.js';
 import { Elastic } from './elastic/index.js';
 import { FencedWriter } from './fenced-writer.js';
-import { Fleet } from './fleet.js';
-import { Hearing } from './hearing.js';
-import { loadWorld, steadyOf } from './load.js';
-import { ORDER_MS, Orders } from './orders.js';
-import type { Unplaced } from './planner.js';
-import { Rounds } from './rounds.js';
+import { Fleet } from './fleet/fleet.js';
+import { Hearing } from './orders/hearing.js';
+import { loadWorld, steadyOf } from './takeover/load.js';
+import { ORDER_MS, Orders } from './orders/orders.js';
+import type { Unplaced } from './rounds/snapshot.js';
+import { Rounds } from './rounds/rounds.js';
 import type { HolderDeps, Scope } from './scope.js';
-import { Settling } from './settling.js';
-import { Stamping } from './stamping.js';
-import type { HeldTerm } from './term.js';
+import { Settling } from './settling/settling.js';
+import { Stamping } from './rounds/stamping.js';
+import type { HeldTerm } from './term/term.js';
 
 /** All that one term's holder does. It lives for one term only: a new term starts from the store again. */
 export class Holder implements Scope {
--- a/src/coordination/hearing.ts
+++ b/src/coordination/orders/hearing.ts
@@ -1,12 +1,13 @@
-import type { SteadyMs } from '../transport/clock.js';
-import type { ZoneName } from '../protocol/ids.js';
-import type { Scope } from './scope.js';
+import type { SteadyMs } from '../../transport/clock.js';
+import type { ZoneName } from '../../protocol/ids.js';
+import type { Scope } from '../scope.js';
+import type { OrdersWorld } from '../views.js';
 
 /** Who is heard: single machines are the fleet's to judge, zones and everybody together are judged here. */
 export class Hearing {
   private heardAt: SteadyMs;
 
-  constructor(private readonly s: Scope) {
+  constructor(private readonly s: Scope<OrdersWorld>) {
     // Workers need a moment to find a new holder.
     this.heardAt = (s.d.clock.now() + 1250 * s.d.settings.workers.reportS) as SteadyMs;
   }
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders/orders.ts
@@ -1,9 +1,10 @@
-import type { Address, ZoneName } from '../protocol/ids.js';
-import { Paths } from '../protocol/wire.js';
-import { encodeCommands, type Command } from '../protocol/workers.js';
-import type { Machine, Placement, World } from '../bookkeeping/world.js';
-import { commandContext, handleOrderReply } from './command.js';
-import type { Scope } from './scope.js';
+import type { Address, ZoneName } from '../../protocol/ids.js';
+import { Paths } from '../../protocol/wire.js';
+import { encodeCommands, type Command } from '../../protocol/workers.js';
+import type { Machine, Placement } from '../../bookkeeping/world.js';
+import { commandContext, handleOrderReply } from './reports.js';
+import type { Scope } from '../scope.js';
+import type { OrdersWorld } from '../views.js';
 
 /** How long the worker may take over a direct command; its answer usually takes milliseconds. */
 export const ORDER_MS = 1500;
@@ -13,7 +14,7 @@
   /** Zones that have fallen silent: a start sent there would be left without an answer. */
   quiet: ReadonlySet<ZoneName> = new Set();
 
-  constructor(private readonly s: Scope) {}
+  constructor(private readonly s: Scope<OrdersWorld>) {}
 
   /**
    * Starts and stops that needn't wait for the next report go to the worker's own address. They may be
@@ -44,7 +45,9 @@
   }
 
   /** Stops that no worker was told yet. A late stop only ever meets the attempt it was meant for. */
-  sendStops(world: World): void {
+  sendStops(): void {
+    const { world } = this.s;
+    if (!world) return;
     const byMachine = new Map<Machine, Placement[]>();
     for (const p of world.stopping) {
       if (!p.seen) continue;
@@ -59,7 +62,7 @@
   }
 
   private async sendOrder(
-    world: World,
+    world: OrdersWorld,
     machine: Machine,
     address: Address,
     starts: readonly Placement[],
--- a/src/coordination/command.ts
+++ b/src/coordination/orders/reports.ts
@@ -1,13 +1,14 @@
-import { plus, type Clock, type SteadyMs } from '../transport/clock.js';
-import type { Metrics } from '../transport/metrics.js';
-import type { Log } from '../transport/log.js';
-import type { Command, Report, ReportedTask } from '../protocol/workers.js';
-import type { Estimates } from '../bookkeeping/estimates.js';
-import type { Machine, Placement, World } from '../bookkeeping/world.js';
-import type { Scope } from './scope.js';
+import { plus, type Clock, type SteadyMs } from '../../transport/clock.js';
+import type { Metrics } from '../../transport/metrics.js';
+import type { Log } from '../../transport/log.js';
+import type { Command, Report, ReportedTask } from '../../protocol/workers.js';
+import type { Estimates } from '../../bookkeeping/estimates.js';
+import type { Machine, Placement } from '../../bookkeeping/world.js';
+import type { Scope } from '../scope.js';
+import type { OrdersWorld } from '../views.js';
 
 export interface CommandContext {
-  readonly world: World;
+  readonly world: OrdersWorld;
   readonly clock: Clock;
   readonly log: Log;
   readonly estimates: Estimates;
@@ -18,7 +19,7 @@
   readonly wake: () => void;
 }
 
-export const commandContext = (s: Scope, world: World): CommandContext => {
+export const commandContext = (s: Scope<OrdersWorld>, world: OrdersWorld): CommandContext => {
   const { d } = s;
   return {
     world,
--- a/src/coordination/pipelines/index.ts
+++ b/src/coordination/pipelines/index.ts
@@ -6,8 +6,8 @@
 import type { Change, Condition } from '../../protocol/state.js';
 import { PipelineBook } from '../../bookkeeping/pipeline-book.js';
 import { PipelineKeys } from '../../bookkeeping/pipeline-records.js';
-import type { World } from '../../bookkeeping/world.js';
-import type { StepSettler } from '../settle.js';
+import type { PipelinesWorld } from '../views.js';
+import type { StepSettler } from '../settling/settle.js';
 import { PipelineUsers, type PipelineUsersDeps } from './users.js';
 import { PipelineSettler } from './settler.js';
 import { isOver, startsLater, waitsFor } from './progress.js';
@@ -27,7 +27,7 @@
 export class Pipelines {
   readonly book: PipelineBook;
   readonly users: PipelineUsers;
-  private world: World | undefined;
+  private world: PipelinesWorld | undefined;
   private wake: () => void = () => undefined;
   private onCancelled: (id: JobId) => void = () => undefined;
   private counted = new Map<JobId, number>();
@@ -51,7 +51,7 @@
   // ---- the holder's side ------------------------------------------------------------------------------
 
   /** A term begins: what is kept of an earlier one counts no more. */
-  serve(world: World, wake: () => void, onCancelled: (id: JobId) => void): void {
+  serve(world: PipelinesWorld, wake: () => void, onCancelled: (id: JobId) => void): void {
     this.world = world;
     this.wake = wake;
     this.onCancelled = onCancelled;
@@ -63,7 +63,7 @@
     }
   }
 
-  stop(world: World | undefined): void {
+  stop(world: PipelinesWorld | undefined): void {
     if (this.world === world) this.world = undefined;
   }
 
@@ -103,7 +103,7 @@
   }
   private readonly backedOff = new Map<JobId, number>();
 
-  settler(world: World, term: Term): StepSettler | undefined {
+  settler(world: PipelinesWorld, term: Term): StepSettler | undefined {
     const { d } = this;
     if (this.book.size === 0) return undefined;
     const now = d.clock.now();
--- a/src/coordination/pipelines/progress.ts
+++ b/src/coordination/pipelines/progress.ts
@@ -10,8 +10,6 @@
   readonly failures: ReadonlyMap<number, number>;
 }
 
-export const NO_NEWS: News = { done: [], cancelled: [], failures: new Map() };
-
 /** The difference between what a pipeline is and what it should be, as far as one transaction goes. */
 export interface Advance {
   readonly progress: Progress;
--- a/src/coordination/pipelines/settler.ts
+++ b/src/coordination/pipelines/settler.ts
@@ -7,9 +7,10 @@
 import type { Pipeline, PipelineBook } from '../../bookkeeping/pipeline-book.js';
 import { PipelineKeys, sealHead, type PipelineHead } from '../../bookkeeping/pipeline-records.js';
 import { Keys, seal, type EndRecord, type Row } from '../../bookkeeping/records.js';
-import type { Job, World } from '../../bookkeeping/world.js';
-import type { Piece, StepSettler } from '../settle.js';
-import { advance, isHeld, startsLater, type Advance, type News } from './progress.js';
+import type { Job } from '../../bookkeeping/world.js';
+import type { PipelinesWorld } from '../views.js';
+import type { Piece, StepSettler } from '../settling/settle.js';
+import { advance, startsLater, type Advance, type News } from './progress.js';
 
 interface Gathered {
   readonly done: number[];
@@ -19,7 +20,7 @@
 
 export interface SettlerDeps {
   readonly book: PipelineBook;
-  readonly world: World;
+  readonly world: PipelinesWorld;
   readonly term: Term;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -242,6 +243,3 @@
 
 const EMPTY: Piece = { conditions: [], changes: [], placements: 0, apply: () => undefined };
 const NONE: News = { done: [], cancelled: [], failures: new Map() };
-
-export const heldCount = (pipeline: Pipeline): number =>
-  pipeline.steps.reduce((n, _, i) => n + (isHeld(pipeline.head.progress, i) ? 1 : 0), 0);
--- /dev/null
+++ b/src/coordination/rounds/eligibility.ts
@@ -0,0 +1,44 @@
+import type { MachineType } from '../../protocol/cloud.js';
+import type { ZoneName } from '../../protocol/ids.js';
+import type { JobSpec } from '../../protocol/jobs.js';
+import type { Job, Machine } from '../../bookkeeping/world.js';
+import { roomFor } from './rooms.js';
+import type { Snapshot } from './snapshot.js';
+
+export const fitsType = (s: JobSpec, t: MachineType): boolean =>
+  (s.types === null || s.types.includes(t.name)) && roomFor(t, s);
+
+export const usable = (
+  m: Machine,
+  s: Pick<Snapshot, 'now' | 'staleMs' | 'silentMs' | 'quietZones'>,
+): boolean =>
+  m.state === 'up' &&
+  m.trusted &&
+  m.lastReport !== undefined &&
+  s.silentMs(m.lastReport) <= s.staleMs &&
+  m.noticeAt === undefined &&
+  m.suspectUntil <= s.now &&
+  !s.quietZones?.has(m.zone) &&
+  m.strangers.length === 0;
+
+/** Tasks of the job possibly on machines, by zone; what is proven off doesn't bind. */
+export function zonesOf(job: Job): Map<ZoneName, number> {
+  const zones = new Map<ZoneName, number>();
+  for (const p of job.placements.values()) {
+    if (!p.ended) zones.set(p.machine.zone, (zones.get(p.machine.zone) ?? 0) + 1);
+  }
+  return zones;
+}
+
+/** A job is bound by its own tasks elsewhere: one zone for all, or at most half, rounded up, in one. */
+export function zoneAllowed(spec: JobSpec, zones: ReadonlyMap<ZoneName, number>, zone: ZoneName): boolean {
+  if (spec.zone !== null && spec.zone !== zone) return false;
+  if (spec.oneZone) for (const z of zones.keys()) if (z !== zone) return false;
+  if (spec.spread) {
+    const here = (zones.get(zone) ?? 0) + 1;
+    let on = 1;
+    for (const n of zones.values()) on += n;
+    if (here > Math.ceil(on / 2)) return false;
+  }
+  return true;
+}
--- a/src/coordination/plan-builder.ts
+++ b/src/coordination/rounds/plan-builder.ts
@@ -1,5 +1,5 @@
-import type { Log } from '../transport/log.js';
-import type { Attempt, PlanId, Term } from '../protocol/ids.js';
+import type { Log } from '../../transport/log.js';
+import type { Attempt, PlanId, Term } from '../../protocol/ids.js';
 import {
   planJobSize,
   planRoom,
@@ -7,9 +7,9 @@
   type Plan,
   type PlanGroup,
   type PlanJob,
-} from '../bookkeeping/records.js';
-import type { Job, Machine } from '../bookkeeping/world.js';
-import type { PlannedTask } from './planner.js';
+} from '../../bookkeeping/records.js';
+import type { Job, Machine } from '../../bookkeeping/world.js';
+import type { PlannedTask } from './snapshot.js';
 
 export interface PlanRequest {
   readonly id: PlanId;
--- /dev/null
+++ b/src/coordination/rounds/planner.ts
@@ -0,0 +1,222 @@
+import type { JobId, TaskIndex, ZoneName } from '../../protocol/ids.js';
+import { waitingCount, waitingTasks, type Job } from '../../bookkeeping/world.js';
+import { usable, zonesOf } from './eligibility.js';
+import { Lending } from './lending.js';
+import { dueAt, jobOrder, withinGuarantee } from './order.js';
+import { Picking } from './picking.js';
+import { roomFor, Rooms, type Need, type Room } from './rooms.js';
+import {
+  PATIENT_S,
+  type PlannedTask,
+  type RoundPlan,
+  type Snapshot,
+  type Unplaced,
+  type WaitReason,
+} from './snapshot.js';
+import { kindsOf, Stops, type Shape } from './stops.js';
+import { TeamRoom } from './team-room.js';
+
+/** Goes through the jobs that wait, in their order, and finds each a place, or says why there is none. */
+class RoundPlanner {
+  private readonly rooms = new Rooms();
+  private readonly tasks: PlannedTask[] = [];
+  private readonly unplaced: Unplaced[] = [];
+  private readonly within: ReadonlySet<JobId>;
+  private readonly jobsInRound = new Set<JobId>();
+  private readonly order: (a: Job, b: Job) => number;
+  private readonly strangers = new Set<string>();
+  private readonly full: Shape[] = [];
+  private readonly teams: TeamRoom;
+  private readonly lending: Lending;
+  private readonly picking: Picking;
+  private readonly stops: Stops;
+
+  constructor(private readonly s: Snapshot) {
+    this.teams = new TeamRoom(s.world, s.teams);
+    this.within = s.within ?? withinGuarantee(s.world.jobs.values(), s.teams);
+    const due = new Map<Job, number>();
+    this.order = jobOrder(this.within, (job) => {
+      let at = due.get(job);
+      if (at === undefined) due.set(job, (at = dueAt(job, s)));
+      return at;
+    });
+    for (const m of s.world.estranged) {
+      for (const t of m.strangers) this.strangers.add(`${t.job}/${t.index}`);
+    }
+    for (const m of s.world.machines.values()) {
+      const type = s.types.get(m.type);
+      if (type && usable(m, s)) this.rooms.add(m, type);
+    }
+    this.lending = new Lending(s);
+    this.picking = new Picking(s, this.rooms);
+    this.stops = new Stops(s, this.rooms, this.picking, this.lending, this.within, this.order);
+  }
+
+  run(): RoundPlan {
+    const waiting: Job[] = [];
+    for (const job of this.s.world.jobs.values()) {
+      if (job.cancelledAt === undefined && waitingCount(job) > 0) waiting.push(job);
+    }
+    waiting.sort(this.order);
+    // What elastic jobs take beyond their least is what nobody else had a use for.
+    if (this.s.widths) waiting.sort((a, b) => Number(this.lending.grows(a)) - Number(this.lending.grows(b)));
+    for (let i = 0; i < waiting.length;) {
+      const equals = this.equalArrays(waiting, i);
+      const overdue = new Set<Job>();
+      if (equals.length > 1) {
+        for (const job of equals) {
+          if (this.overdue(job)) overdue.add(job);
+          this.planJob(job, !overdue.has(job));
+        }
+      }
+      for (const job of equals) if (!overdue.has(job)) this.planJob(job);
+      i += equals.length;
+    }
+    return {
+      tasks: this.tasks,
+      stops: this.stops.stops,
+      unplaced: this.unplaced,
+      searched: this.stops.searched,
+    };
+  }
+
+  /** The job at this place of the order, with the arrays behind it that only their due time puts behind it. */
+  private equalArrays(waiting: readonly Job[], from: number): readonly Job[] {
+    const first = waiting[from]!;
+    let to = from + 1;
+    if (first.spec.kind === 'array') {
+      const same = (j: Job): boolean =>
+        j.spec.kind === 'array' &&
+        j.spec.priority === first.spec.priority &&
+        this.within.has(j.id) === this.within.has(first.id);
+      while (to < waiting.length && same(waiting[to]!)) to++;
+    }
+    return waiting.slice(from, to);
+  }
+
+  /**
+   * Among equal arrays, room goes to those whose image is there before any goes to one that would have to fetch it: in a
+   * full fleet each freed card went to whatever was due first, and a fifth of all card time was spent on fetches. No job
+   * stands back for longer than half of what its class may take.
+   */
+  private overdue(job: Job): boolean {
+    const aims = this.s.aims.finishByClass.get(job.spec.class);
+    const most = aims && aims.length > 0 ? aims[aims.length - 1]! : (job.spec.deadlineS ?? PATIENT_S);
+    return this.s.now - job.acceptedAt > most * 500;
+  }
+
+  /** Tasks of each job that this round has a place for already, and the zones of those and of all before them. */
+  private readonly placed = new Map<Job, Set<TaskIndex>>();
+  private readonly zonesSoFar = new Map<Job, Map<ZoneName, number>>();
+
+  private planJob(job: Job, warmOnly = false): void {
+    const { spec } = job;
+    const before = this.placed.get(job);
+    const count = Math.min(waitingCount(job) - (before?.size ?? 0), this.lending.widthLeft(job, before));
+    if (count <= 0) return;
+    const grows = this.lending.grows(job);
+    const put = (reason: WaitReason, n: number): void => {
+      if (warmOnly) return;
+      // What the team's limit keeps from running anyway needs no room, and above all no rented machine.
+      const allowed = reason === 'no room' ? Math.min(n, this.teams.allowance(spec)) : n;
+      if (allowed > 0) this.unplaced.push({ job, count: allowed, reason });
+      if (allowed < n) this.unplaced.push({ job, count: n - allowed, reason: 'team limit' });
+    };
+    if (job.notBefore > this.s.now) return put('backing off', count);
+    if (spec.kind === 'gang') return this.planGang(job, count, put);
+    if (!this.teams.underLimit(spec, 1)) return put('team limit', count);
+    if (!this.roundHasRoom(job, 1)) return put('round full', count);
+    const zones = this.zonesSoFar.get(job) ?? zonesOf(job);
+    this.zonesSoFar.set(job, zones);
+    const kinds = kindsOf(job, zones, this.s.now);
+    if (kinds !== undefined && this.knownFull(kinds, spec)) {
+      if (grows) return put('no idle room', count);
+      if (!warmOnly) this.stops.makeRoom(job, count);
+      return put('no room', count);
+    }
+    const left = Math.max(1, this.s.maxTasks - this.tasks.length);
+    // By name, not by number: a pass may leave out a task and place the next (seen: tasks in one plan twice).
+    const waiting = waitingTasks(job, left + (before?.size ?? 0))
+      .filter((i) => !before?.has(i) && !this.strangers.has(`${job.id}/${i}`))
+      .slice(0, count);
+    const images = this.picking.imageRooms(job);
+    if (warmOnly && images.length === 0) return;
+    let kept = 0;
+    for (let k = 0; k < waiting.length; k++) {
+      const rest = count - k;
+      if (!this.teams.underLimit(spec, 1)) return put('team limit', rest + kept);
+      if (!this.roundHasRoom(job, 1)) return put('round full', rest + kept);
+      const room = warmOnly
+        ? this.picking.warmest(job, zones, images)
+        : this.picking.pick(job, zones, images);
+      if (!room) {
+        if (warmOnly) return;
+        if (grows) return put('no idle room', rest + kept);
+        if (kinds !== undefined && k === 0) this.full.push({ kinds, need: spec });
+        this.stops.makeRoom(job, rest);
+        return put('no room', rest + kept);
+      }
+      if (!this.picking.holdsImage(room.machine, job) && this.stops.warmRoom(job, zones)) {
+        kept++;
+        continue;
+      }
+      zones.set(room.machine.zone, (zones.get(room.machine.zone) ?? 0) + 1);
+      this.accept(job, [waiting[k]!], [room]);
+      if (!images.includes(room)) images.push(room);
+    }
+    const rest = count - waiting.length;
+    if (rest + kept > 0) put('round full', rest + kept);
+  }
+
+  private planGang(job: Job, count: number, put: (reason: WaitReason, n: number) => void): void {
+    const { spec } = job;
+    // All or nothing: a new attempt starts when the old one is gone to the last task.
+    if (job.placements.size > 0 || job.done.count > 0) return put('old attempt not gone', count);
+    if (!this.teams.underLimit(spec, spec.tasks)) return put('team limit', count);
+    if (!this.roundHasRoom(job, spec.tasks)) return put('round full', count);
+    const waiting = waitingTasks(job, spec.tasks).filter((i) => !this.strangers.has(`${job.id}/${i}`));
+    if (waiting.length < spec.tasks) return put('old attempt not gone', count);
+    const single = spec.tasks === 1 ? kindsOf(job, new Map(), this.s.now) : undefined;
+    if (single !== undefined && this.knownFull(single, spec)) {
+      this.stops.makeRoom(job, 1);
+      return put('no room', count);
+    }
+    const chosen = this.picking.placeGang(job, waiting);
+    if (!chosen) {
+      if (single !== undefined) this.full.push({ kinds: single, need: spec });
+      this.stops.makeRoom(job, waiting.length);
+      return put('no room', count);
+    }
+    if (spec.tasks === 1 && !this.picking.holdsImage(chosen[0]!.machine, job)) {
+      this.rooms.occupy(chosen[0]!, spec, -1);
+      if (this.stops.warmRoom(job, zonesOf(job))) return put('no room', count);
+      this.rooms.occupy(chosen[0]!, spec, 1);
+    }
+    this.accept(job, waiting, chosen);
+  }
+
+  private knownFull(kinds: string, need: Need): boolean {
+    return this.full.some((f) => f.kinds === kinds && roomFor(need, f.need));
+  }
+
+  private roundHasRoom(job: Job, n: number): boolean {
+    const first = this.tasks.length === 0;
+    if (!this.jobsInRound.has(job.id) && this.jobsInRound.size >= this.s.maxJobs) return false;
+    return first || this.tasks.length + n <= this.s.maxTasks;
+  }
+
+  private accept(job: Job, indices: readonly TaskIndex[], rooms: readonly Room[]): void {
+    this.jobsInRound.add(job.id);
+    const placed = this.placed.get(job);
+    if (placed) for (const i of indices) placed.add(i);
+    else this.placed.set(job, new Set(indices));
+    indices.forEach((index, k) => this.tasks.push({ job, index, machine: rooms[k]!.machine }));
+    for (let k = 0; k < indices.length; k++) {
+      if (job.spec.kind !== 'gang') this.rooms.occupy(rooms[k]!, job.spec, 1);
+      this.rooms.placed(rooms[k]!, job.spec);
+    }
+    this.teams.charge(job.spec, indices.length);
+  }
+}
+
+export const planRound = (snapshot: Snapshot): RoundPlan => new RoundPlanner(snapshot).run();
--- a/src/coordination/rooms.ts
+++ b/src/coordination/rounds/rooms.ts
@@ -1,7 +1,7 @@
-import type { MachineType } from '../protocol/cloud.js';
-import type { ImageName, ZoneName } from '../protocol/ids.js';
-import type { JobSpec } from '../protocol/jobs.js';
-import type { Machine } from '../bookkeeping/world.js';
+import type { MachineType } from '../../protocol/cloud.js';
+import type { ImageName, ZoneName } from '../../protocol/ids.js';
+import type { JobSpec } from '../../protocol/jobs.js';
+import type { Machine } from '../../bookkeeping/world.js';
 
 /** What is left on one machine while a round is being planned. */
 export interface Room {
--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds/rounds.ts
@@ -1,23 +1,19 @@
-import { Rank } from '../transport/budget.js';
-import { sleep, type SteadyMs } from '../transport/clock.js';
-import { jitter } from '../transport/random.js';
-import type { JobId, Mark } from '../protocol/ids.js';
-import { attemptOf, Keys, planId, seal, withGeneration, type Claim } from '../bookkeeping/records.js';
-import { waitingCount, type Machine, type World } from '../bookkeeping/world.js';
-import { graceOf } from './elastic/reclaims.js';
-import type { FencedWriter } from './fenced-writer.js';
-import type { Hearing } from './hearing.js';
-import type { Orders } from './orders.js';
+import { Rank } from '../../transport/budget.js';
+import { sleep, type SteadyMs } from '../../transport/clock.js';
+import { jitter } from '../../transport/random.js';
+import type { JobId, Mark } from '../../protocol/ids.js';
+import { attemptOf, Keys, planId, seal, withGeneration, type Claim } from '../../bookkeeping/records.js';
+import { waitingCount, type Machine } from '../../bookkeeping/world.js';
+import { graceOf } from '../elastic/reclaims.js';
+import type { FencedWriter } from '../fenced-writer.js';
+import type { Hearing } from '../orders/hearing.js';
+import type { Orders } from '../orders/orders.js';
 import { buildPlan } from './plan-builder.js';
-import {
-  planRound,
-  startAims,
-  withinGuarantee,
-  type PlannedTask,
-  type StartAims,
-  type Unplaced,
-} from './planner.js';
-import type { Scope } from './scope.js';
+import { withinGuarantee } from './order.js';
+import { planRound } from './planner.js';
+import { startAims, type PlannedTask, type StartAims, type Unplaced } from './snapshot.js';
+import type { Scope } from '../scope.js';
+import type { RoundsWorld } from '../views.js';
 
 /** How old the holder's view of who is within the guarantees may be. */
 const WITHIN_MS = 300;
@@ -50,7 +46,7 @@
   private readonly aims: StartAims;
 
   constructor(
-    private readonly s: Scope,
+    private readonly s: Scope<RoundsWorld>,
     private readonly writer: FencedWriter,
     private readonly orders: Orders,
     private readonly hearing: Hearing,
@@ -111,7 +107,7 @@
   }
 
   /** Returns how many changes it wrote. */
-  private async planAndCommit(world: World): Promise<number> {
+  private async planAndCommit(world: RoundsWorld): Promise<number> {
     const { d } = this.s;
     const { workers, store } = d.settings;
     const from = d.clock.now();
@@ -154,12 +150,12 @@
         for: s.forJob,
       });
     }
-    this.orders.sendStops(world);
+    this.orders.sendStops();
     return result.tasks.length > 0 ? this.commit(world, result.tasks) : 0;
   }
 
   /** What elastic jobs run beyond their width is asked back, with time to save. */
-  private reclaim(world: World, now: SteadyMs): void {
+  private reclaim(world: RoundsWorld, now: SteadyMs): void {
     const { elastic, d } = this.s;
     for (const p of elastic?.update(this.unplaced, now) ?? []) {
       world.stop(p, graceOf(p.job.spec), 'width', now);
@@ -169,7 +165,7 @@
   }
 
   /** Plan, receipt and rows in one transaction that conditions on the term and on every row's mark. */
-  private async commit(world: World, tasks: readonly PlannedTask[]): Promise<number> {
+  private async commit(world: RoundsWorld, tasks: readonly PlannedTask[]): Promise<number> {
     const { d } = this.s;
     const round = ++this.round;
     const id = planId(this.s.held.term, round);
--- /dev/null
+++ b/src/coordination/rounds/snapshot.ts
@@ -0,0 +1,89 @@
+import type { SteadyMs } from '../../transport/clock.js';
+import type { MachineType } from '../../protocol/cloud.js';
+import type { JobId, TaskIndex, TeamName, TypeName, ZoneName } from '../../protocol/ids.js';
+import type { Settings, TeamLimits } from '../../protocol/settings.js';
+import type { Estimates } from '../../bookkeeping/estimates.js';
+import type { Job, Machine, Placement, World } from '../../bookkeeping/world.js';
+import type { WidthRules } from '../elastic/index.js';
+
+/** What a round is planned from. The planner only reads it, and the same snapshot gives the same plan. */
+export interface Snapshot {
+  readonly now: SteadyMs;
+  readonly world: PlannedWorld;
+  readonly types: ReadonlyMap<TypeName, MachineType>;
+  readonly teams: ReadonlyMap<TeamName, TeamLimits>;
+  /** Machines that did not report for so long get no new tasks. */
+  readonly staleMs: number;
+  /** Time since then in which this process could hear: its own lateness is no machine's silence. */
+  readonly silentMs: (then: SteadyMs) => number;
+  readonly maxTasks: number;
+  readonly maxJobs: number;
+  /** How long a job waits before running work is stopped for it. */
+  readonly preemptAfterMs: number;
+  readonly estimates: Estimates;
+  readonly aims: StartAims;
+  /** Jobs within their team's guarantee, where the caller knows them already. */
+  readonly within?: ReadonlySet<JobId>;
+  /** Of elastic jobs: how wide they may be, and what of them is lent. */
+  readonly widths?: WidthRules | undefined;
+  /** Zones that have fallen silent: nothing new goes there. */
+  readonly quietZones?: ReadonlySet<ZoneName>;
+}
+
+/** All that planning may read of the world; it writes nothing of it. */
+export type PlannedWorld = Pick<World, 'jobs' | 'machines' | 'use' | 'estranged' | 'withImage'>;
+
+/** How soon work should start, as the settings' objectives say. */
+export interface StartAims {
+  readonly byClass: ReadonlyMap<string, number>;
+  readonly guaranteeS: number | undefined;
+  /** Seconds from submission by which jobs of a class should be finished, shortest first. */
+  readonly finishByClass: ReadonlyMap<string, readonly number[]>;
+}
+
+export function startAims(objectives: Settings['objectives']): StartAims {
+  const byClass = new Map<string, number>();
+  const finishByClass = new Map<string, number[]>();
+  let guaranteeS: number | undefined;
+  for (const o of objectives) {
+    if (o.withinS === undefined) continue;
+    if (o.kind === 'guarantee') guaranteeS = Math.min(o.withinS, guaranteeS ?? Infinity);
+    if (o.kind === 'finished' && o.class !== undefined) {
+      const all = [...(finishByClass.get(o.class) ?? []), o.withinS].sort((a, b) => a - b);
+      finishByClass.set(o.class, all);
+    }
+    if (o.kind !== 'wait' || o.class === undefined) continue;
+    byClass.set(o.class, Math.min(o.withinS, byClass.get(o.class) ?? Infinity));
+  }
+  return { byClass, guaranteeS, finishByClass };
+}
+
+/** Without an aim, work may wait this long for room before other work is stopped for it. */
+export const PATIENT_S = 15;
+
+export interface PlannedTask {
+  readonly job: Job;
+  readonly index: TaskIndex;
+  readonly machine: Machine;
+}
+
+export type WaitReason =
+  'team limit' | 'no room' | 'backing off' | 'old attempt not gone' | 'round full' | 'no idle room';
+
+export interface Unplaced {
+  readonly job: Job;
+  readonly count: number;
+  readonly reason: WaitReason;
+}
+
+export interface RoundPlan {
+  readonly tasks: readonly PlannedTask[];
+  readonly stops: readonly {
+    readonly placement: Placement;
+    readonly graceS: number;
+    readonly forJob: JobId;
+  }[];
+  readonly unplaced: readonly Unplaced[];
+  /** How often a room was looked into for tasks to stop: most of what a round costs when all is full. */
+  readonly searched: number;
+}
--- a/src/coordination/stamping.ts
+++ b/src/coordination/rounds/stamping.ts
@@ -1,17 +1,18 @@
-import { Rank } from '../transport/budget.js';
-import { sleep } from '../transport/clock.js';
-import type { Mark } from '../protocol/ids.js';
-import { Keys, seal, withGeneration, type Row } from '../bookkeeping/records.js';
-import type { Job, World } from '../bookkeeping/world.js';
-import type { FencedWriter } from './fenced-writer.js';
-import type { Scope } from './scope.js';
+import { Rank } from '../../transport/budget.js';
+import { sleep } from '../../transport/clock.js';
+import type { Mark } from '../../protocol/ids.js';
+import { Keys, seal, withGeneration, type Row } from '../../bookkeeping/records.js';
+import type { Job } from '../../bookkeeping/world.js';
+import type { FencedWriter } from '../fenced-writer.js';
+import type { Scope } from '../scope.js';
+import type { RoundsWorld } from '../views.js';
 
 /** How long a job may run before its row says so: many are over by then, and their rows gone. */
 const STAMP_MS = 1500;
 
 export class Stamping {
   constructor(
-    private readonly s: Scope,
+    private readonly s: Scope<RoundsWorld>,
     private readonly writer: FencedWriter,
   ) {}
 
@@ -36,7 +37,7 @@
     }
   }
 
-  private async stamp(world: World, jobs: readonly Job[]): Promise<void> {
+  private async stamp(world: RoundsWorld, jobs: readonly Job[]): Promise<void> {
     const { d } = this.s;
     const rows = jobs.map((job): Row => ({
       ...job.row,
--- /dev/null
+++ b/src/coordination/rounds/stops.ts
@@ -0,0 +1,286 @@
+import type { SteadyMs } from '../../transport/clock.js';
+import type { JobId, ZoneName } from '../../protocol/ids.js';
+import { priorityRank, type JobSpec } from '../../protocol/jobs.js';
+import type { Job, Placement } from '../../bookkeeping/world.js';
+import { graceOf as elasticGraceOf } from '../elastic/reclaims.js';
+import { zonesOf } from './eligibility.js';
+import { Hopes } from './hopes.js';
+import type { Lending } from './lending.js';
+import { lossOf, preemptible } from './order.js';
+import type { Picking } from './picking.js';
+import { roomFor, type Need, type Room, type Rooms } from './rooms.js';
+import type { RoundPlan, Snapshot } from './snapshot.js';
+
+const EPS = 1e-9;
+
+/** What is lent is taken back before anything else of the same loss. */
+const LENT_COST = 0.1;
+
+/** A fetch shorter than this is never worth stopping other work. */
+const WORTH_A_STOP_S = 3;
+
+/** Jobs of each sort for which a round looks into stopping others: the first in order; the rest has its turn in later rounds. */
+const MOST_SEARCHES = 24;
+
+/** What a failed search says of others like it: no room for so much, of such kinds, in such zones. */
+export interface Shape {
+  readonly kinds: string;
+  readonly need: Need;
+}
+
+/** Stopping a task so that its progress is kept, where it can save at all. */
+export const graceOf = (s: JobSpec): number => (s.checkpointS > 0 ? s.saveS * 1.5 + 2 : 0);
+
+/** Where running work is stopped for work that waits: which tasks, for whom, with how much grace. */
+export class Stops {
+  readonly stops: RoundPlan['stops'][number][] = [];
+  searched = 0;
+  private readonly vain: Shape[] = [];
+  private readonly coldOnly = new Set<JobId>();
+  private readonly searches = { gangs: 0, others: 0 };
+  private readonly hopes: Hopes;
+
+  constructor(
+    private readonly s: Snapshot,
+    private readonly rooms: Rooms,
+    private readonly picking: Picking,
+    private readonly lending: Lending,
+    private readonly within: ReadonlySet<JobId>,
+    private readonly order: (a: Job, b: Job) => number,
+  ) {
+    this.hopes = new Hopes(s, rooms, picking, within);
+  }
+
+  private stop(p: Placement, job: Job): void {
+    this.lending.asked(p);
+    const graceS = p.job.spec.elastic ? elasticGraceOf(p.job.spec) : graceOf(p.job.spec);
+    this.stops.push({ placement: p, graceS, forJob: job.id });
+  }
+
+  /** Lent room is given back to whoever is no elastic job itself; else what the order allows. */
+  private mayStop(p: Placement, job: Job): boolean {
+    if (!p.ended && !job.spec.elastic && this.lending.isLent(p)) return true;
+    return preemptible(p, job, this.within, this.order);
+  }
+
+  /**
+   * There is room, but only where the image would have to be fetched first. On a machine that holds it, work
+   * of lower priority may stand in the way that loses less by being stopped than the fetch would take.
+   */
+  warmRoom(job: Job, zones: ReadonlyMap<ZoneName, number>): boolean {
+    const { spec } = job;
+    if (!this.s.aims.byClass.has(spec.class) || this.coldOnly.has(job.id)) return false;
+    let best: { room: Room; stops: Placement[]; loss: number } | undefined;
+    for (const m of this.s.world.withImage(spec.image)) {
+      const room = this.rooms.of(m);
+      if (!room || room.reserved || !this.picking.holdsImage(m, job)) continue;
+      if (!this.picking.eligible(job, zones, room) || !roomFor(room.type, spec)) continue;
+      const fetchS = spec.imageGb / Math.max(room.type.fetchGbPerS, 1e-3);
+      if (fetchS < WORTH_A_STOP_S) continue;
+      const free = { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb };
+      const give = (p: Placement): void => {
+        free.cpus += p.job.spec.cpus;
+        free.gpus += p.job.spec.gpus;
+        free.memoryGb += p.job.spec.memoryGb;
+      };
+      const placements = [...room.machine.placements].filter((p) => !p.ended);
+      for (const p of placements) if (p.stop) give(p);
+      const stops: Placement[] = [];
+      let loss = 0;
+      if (!roomFor(free, spec)) {
+        const victims = placements
+          .filter((p) => !p.stop && p.job.spec.kind === 'array')
+          .filter((p) => priorityRank(p.job.spec.priority) > priorityRank(spec.priority))
+          .filter((p) => preemptible(p, job, this.within, this.order))
+          .sort((a, b) => lossOf(a, this.s.now) - lossOf(b, this.s.now));
+        for (const p of victims) {
+          give(p);
+          stops.push(p);
+          loss += lossOf(p, this.s.now);
+          if (roomFor(free, spec)) break;
+        }
+      }
+      if (!roomFor(free, spec) || loss > fetchS * (spec.gpus + spec.cpus / 100)) continue;
+      if (!best || loss < best.loss) best = { room, stops, loss };
+    }
+    if (!best) {
+      this.coldOnly.add(job.id);
+      return false;
+    }
+    best.room.reserved = true;
+    for (const placement of best.stops) this.stop(placement, job);
+    return true;
+  }
+
+  /**
+   * No machine has room: one is kept free of lower-ranked work for this job, and running work that may be
+   * stopped for it is stopped, where the least is lost.
+   */
+  makeRoom(job: Job, count: number): void {
+    const { spec } = job;
+    // Gangs have turns of their own: a backlog of arrays before them must not use all of them up.
+    const turn = spec.kind === 'gang' && spec.tasks > 1 ? 'gangs' : 'others';
+    if (++this.searches[turn] > MOST_SEARCHES) return;
+    const zones = zonesOf(job);
+    // Live work doesn't wait in hope of room while some of it is only lent.
+    const hopes =
+      !(spec.kind === 'service' || this.s.aims.byClass.has(spec.class)) || !this.lending.anyLent();
+    let wanted = Math.min(count - (hopes ? this.hopes.servedByReleases(job, count, zones) : 0), 64);
+    if (wanted <= 0) return;
+    // Jobs come in order, and rooms only get fewer: where one found nothing that may be stopped for it, another
+    // that may stop no more than it finds nothing either.
+    const kinds = kindsOf(job, zones, this.s.now);
+    const owed = this.within.has(job.id);
+    const key = `${kinds}/${spec.priority}/${owed ? spec.team : '-'}`;
+    if (kinds !== undefined && this.vain.some((v) => v.kinds === key && roomFor(spec, v.need))) return;
+    const candidates: Candidate[] = [];
+    for (const room of this.rooms.all) {
+      if (room.reserved || !this.picking.eligible(job, zones, room) || !roomFor(room.type, spec)) continue;
+      const found = this.candidate(job, room);
+      if (found) candidates.push(found);
+    }
+    if (candidates.length === 0 && kinds !== undefined) this.vain.push({ kinds: key, need: spec });
+    const warm = (c: Candidate): number => Number(this.picking.holdsImage(c.room.machine, job));
+    const beside = (c: Candidate): number => (spec.kind === 'service' ? c.room.machine.used.services : 0);
+    candidates.sort(
+      (a, b) =>
+        Number(b.waiting) - Number(a.waiting) ||
+        warm(b) - warm(a) ||
+        beside(b) - beside(a) ||
+        a.loss - b.loss,
+    );
+    const zone = spec.oneZone ? this.zoneFor(candidates, wanted) : undefined;
+    const patient = this.s.now - job.acceptedAt < this.s.preemptAfterMs;
+    for (const c of candidates) {
+      if (wanted <= 0) break;
+      if (zone !== undefined && c.room.machine.zone !== zone) continue;
+      wanted -= c.holds;
+      c.room.reserved = true;
+      if (patient && !c.stops.every((p) => this.lending.isLent(p))) continue;
+      for (const placement of c.stops) this.stop(placement, job);
+    }
+  }
+
+  /** What stands in the room, as far as it says at once that nothing there may be stopped. Once a round. */
+  private contentsOf(room: Room): Contents {
+    let sum = this.contents.get(room);
+    if (sum) return sum;
+    sum = { lowest: -1, outside: false, stopping: false, lent: false };
+    for (const p of room.machine.placements) {
+      if (p.ended) continue;
+      if (p.stop) sum.stopping = true;
+      else {
+        sum.lowest = Math.max(sum.lowest, priorityRank(p.job.spec.priority));
+        if (!this.within.has(p.job.id)) sum.outside = true;
+        if (this.lending.isLent(p)) sum.lent = true;
+      }
+    }
+    this.contents.set(room, sum);
+    return sum;
+  }
+
+  private readonly contents = new Map<Room, Contents>();
+
+  /** What the room would hold of the job once work that may be stopped for it is gone, and at what loss. */
+  private candidate(job: Job, room: Room): Candidate | undefined {
+    const { spec } = job;
+    const sum = this.contentsOf(room);
+    const mayStop =
+      sum.lowest > priorityRank(spec.priority) ||
+      (sum.outside && this.within.has(job.id)) ||
+      (sum.lent && !spec.elastic);
+    // Nothing is on its way out, and nothing may be stopped: what is free is all there is.
+    if (!mayStop && !sum.stopping && !roomFor(room, spec)) return undefined;
+    this.searched++;
+    const free = { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb };
+    const give = (p: Placement): void => {
+      free.cpus += p.job.spec.cpus;
+      free.gpus += p.job.spec.gpus;
+      free.memoryGb += p.job.spec.memoryGb;
+    };
+    const holds = (): number => (spec.kind === 'gang' && spec.tasks > 1 ? timesIn(free, spec) : 1);
+    for (const p of room.machine.placements) if (!p.ended && p.stop) give(p);
+    if (roomFor(free, spec)) return { room, stops: [], loss: 0, waiting: true, holds: holds() };
+    if (!mayStop) return undefined;
+    const cost = (p: Placement): number => lossOf(p, this.s.now) * (this.lending.isLent(p) ? LENT_COST : 1);
+    const victims = [...room.machine.placements]
+      .filter((p) => !p.stop && this.mayStop(p, job))
+      .sort((a, b) => cost(a) - cost(b));
+    const stops: Placement[] = [];
+    let loss = 0;
+    const taken = new Map<Job, number>();
+    for (const p of victims) {
+      // Of one job no more than is lent, unless the order allows it anyway.
+      const n = taken.get(p.job) ?? 0;
+      const lent = this.lending.lends(p, n);
+      if (p.job.spec.elastic && !lent && !preemptible(p, job, this.within, this.order)) continue;
+      taken.set(p.job, n + 1);
+      give(p);
+      stops.push(p);
+      loss += cost(p) * p.job.placements.size ** (p.job.spec.kind === 'gang' ? 1 : 0);
+      if (roomFor(free, spec)) return { room, stops, loss, waiting: false, holds: holds() };
+    }
+    return undefined;
+  }
+
+  /**
+   * One zone for all: the one that can be made to hold the whole gang at the least loss. Where none can, the
+   * one that comes nearest, and its rooms are only kept from others, since to stop work there would be in vain.
+   */
+  private zoneFor(candidates: Candidate[], wanted: number): ZoneName | undefined {
+    const sums = new Map<ZoneName, { holds: number; loss: number }>();
+    for (const c of candidates) {
+      const sum = sums.get(c.room.machine.zone) ?? { holds: 0, loss: 0 };
+      if (sum.holds < wanted) sum.loss += c.loss;
+      sum.holds += c.holds;
+      sums.set(c.room.machine.zone, sum);
+    }
+    let best: { zone: ZoneName; holds: number; loss: number } | undefined;
+    for (const [zone, { holds, loss }] of sums) {
+      const enough = Math.min(holds, wanted);
+      if (!best || enough > best.holds || (enough === best.holds && loss < best.loss)) {
+        best = { zone, holds: enough, loss };
+      }
+    }
+    if (best && best.holds < wanted) {
+      for (const c of candidates) c.stops.length = 0;
+    }
+    return best?.zone;
+  }
+}
+
+interface Contents {
+  /** Rank of what may be stopped soonest; -1: nothing runs. */
+  lowest: number;
+  /** Something runs that is not within its team's guarantee. */
+  outside: boolean;
+  /** Something is being stopped. */
+  stopping: boolean;
+  /** Some elastic job runs more than its least there. */
+  lent: boolean;
+}
+
+interface Candidate {
+  readonly room: Room;
+  readonly stops: Placement[];
+  readonly loss: number;
+  /** Free already, or once what is being stopped is gone. */
+  readonly waiting: boolean;
+  /** How many tasks of the job it would take. */
+  readonly holds: number;
+}
+
+/** Jobs that may go to just the same machines share this key; undefined where zones or machines are its own. */
+export function kindsOf(job: Job, zones: ReadonlyMap<ZoneName, number>, now: SteadyMs): string | undefined {
+  const { spec } = job;
+  for (const until of job.avoid.values()) if (until > now) return undefined;
+  if ((spec.spread || spec.oneZone) && zones.size > 0) return undefined;
+  return `${spec.spot}/${spec.zone ?? '*'}/${spec.types?.join(',') ?? '*'}`;
+}
+
+/** How many tasks of the kind fit. */
+function timesIn(free: Need, s: Need): number {
+  const of = (has: number, each: number): number => (each > 0 ? Math.floor(has / each + EPS) : Infinity);
+  const n = Math.min(of(free.cpus, s.cpus), of(free.gpus, s.gpus), of(free.memoryGb, s.memoryGb));
+  return Math.max(1, n === Infinity ? 1 : n);
+}
--- a/src/coordination/scope.ts
+++ b/src/coordination/scope.ts
@@ -10,10 +10,10 @@
 import type { Store } from '../bookkeeping/store.js';
 import type { World } from '../bookkeeping/world.js';
 import type { Elastic } from './elastic/index.js';
-import type { FleetDeps } from './fleet.js';
+import type { FleetDeps } from './fleet/fleet.js';
 import type { Pipelines } from './pipelines/index.js';
-import type { HeldTerm, TermKeeper } from './term.js';
-import type { TypeBook } from './types.js';
+import type { HeldTerm, TermKeeper } from './term/term.js';
+import type { TypeBook } from './fleet/types.js';
 
 export interface HolderDeps extends Omit<FleetDeps, 'held'> {
   readonly clock: Clock;
@@ -31,13 +31,16 @@
   readonly pipelines?: Pipelines | undefined;
 }
 
-/** What the loops of one term share: the term they serve, what is known, and how to wake one another. */
-export interface Scope {
+/**
+ * What the loops of one term share: the term they serve, what is known, and how to wake one another. `W` is what a loop may
+ * read and write of the world (`views.ts`).
+ */
+export interface Scope<W = World> {
   readonly d: HolderDeps;
   readonly held: HeldTerm;
   readonly estimates: Estimates;
   /** Undefined until it is loaded. */
-  readonly world: World | undefined;
+  readonly world: W | undefined;
   /** There only where jobs may change their width. */
   readonly elastic: Elastic | undefined;
   /** Whether this term still stands; every loop ends when it doesn't. */
--- a/src/coordination/collecting.ts
+++ b/src/coordination/settling/collecting.ts
@@ -1,11 +1,12 @@
-import { Rank } from '../transport/budget.js';
-import { sleep, type SteadyMs } from '../transport/clock.js';
-import type { MachineId } from '../protocol/ids.js';
-import type { Change } from '../protocol/state.js';
-import { Keys, seal, type ImageNote, type Sealed } from '../bookkeeping/records.js';
-import type { Machine, World } from '../bookkeeping/world.js';
-import type { FencedWriter } from './fenced-writer.js';
-import type { Scope } from './scope.js';
+import { Rank } from '../../transport/budget.js';
+import { sleep, type SteadyMs } from '../../transport/clock.js';
+import type { MachineId } from '../../protocol/ids.js';
+import type { Change } from '../../protocol/state.js';
+import { Keys, seal, type ImageNote, type Sealed } from '../../bookkeeping/records.js';
+import type { Machine } from '../../bookkeeping/world.js';
+import type { FencedWriter } from '../fenced-writer.js';
+import type { Scope } from '../scope.js';
+import type { SettlingWorld } from '../views.js';
 
 /** Image notes are worth a handful of changes this often. */
 const IMAGES_MS = 20_000;
@@ -13,7 +14,7 @@
 /** The loop that removes what nothing needs any more, and notes down hints, whenever nobody else wants to write. */
 export class Collecting {
   constructor(
-    private readonly s: Scope,
+    private readonly s: Scope<SettlingWorld>,
     private readonly writer: FencedWriter,
   ) {}
 
@@ -59,7 +60,7 @@
    * Which images are where is written down now and then, many machines in one record: a successor that had to
    * guess would send every start to a cold machine. Only a hint, so nothing is lost when it is old or left out.
    */
-  private async keepImages(world: World): Promise<void> {
+  private async keepImages(world: SettlingWorld): Promise<void> {
     const { d } = this.s;
     const now = d.clock.now();
     if (!world.imagesChanged || now - this.imagesAt < IMAGES_MS) return;
--- a/src/coordination/settle.ts
+++ b/src/coordination/settling/settle.ts
@@ -1,5 +1,5 @@
-import type { JobId, Mark, PlanId, StoreKey } from '../protocol/ids.js';
-import type { Change, Condition } from '../protocol/state.js';
+import type { JobId, Mark, PlanId, StoreKey } from '../../protocol/ids.js';
+import type { Change, Condition } from '../../protocol/state.js';
 import {
   CHUNK,
   chunkOf,
@@ -10,8 +10,9 @@
   type EndRecord,
   type NoteEntry,
   type ReturnEntry,
-} from '../bookkeeping/records.js';
-import type { Job, Placement, PlanState, World } from '../bookkeeping/world.js';
+} from '../../bookkeeping/records.js';
+import type { Job, Placement, PlanState } from '../../bookkeeping/world.js';
+import type { SettlingWorld } from '../views.js';
 
 /** One transaction's worth of ends: what it writes, and what the world becomes once it is committed. */
 export interface Settlement {
@@ -71,7 +72,7 @@
 
 const isDone = (p: Placement): boolean => p.ended?.how === 'done';
 
-function partsOf(world: World, limits: SettleLimits): JobPart[] {
+function partsOf(world: SettlingWorld, limits: SettleLimits): JobPart[] {
   const byJob = new Map<Job, Map<PlanId, Placement[]>>();
   for (const job of world.jobs.values()) {
     const over = job.cancelledAt !== undefined || job.done.count >= job.spec.tasks || gangCompleted(job, 0);
@@ -135,7 +136,7 @@
 }
 
 /** The next ends to write, within the operations of one transaction; undefined when there is nothing. */
-export function nextSettlement(world: World, limits: SettleLimits): Settlement | undefined {
+export function nextSettlement(world: SettlingWorld, limits: SettleLimits): Settlement | undefined {
   const conditions: Condition[] = [];
   const changes: Change[] = [];
   const applies: ((mark: Mark) => void)[] = [];
@@ -178,7 +179,7 @@
 }
 
 function settleJob(
-  world: World,
+  world: SettlingWorld,
   part: JobPart,
   room: number,
   note: Note,
@@ -212,7 +213,7 @@
 }
 
 /** The job is over: its row gives way to its end, and whatever plans it had are done with. */
-function endJob(world: World, job: Job, all: readonly Placement[], newlyDone: number): Piece {
+function endJob(world: SettlingWorld, job: Job, all: readonly Placement[], newlyDone: number): Piece {
   const cancelled = job.cancelledAt !== undefined;
   const end: EndRecord = {
     state: cancelled ? 'cancelled' : 'done',
@@ -234,7 +235,7 @@
   };
 }
 
-function settleIn(world: World, p: Placement): void {
+function settleIn(world: SettlingWorld, p: Placement): void {
   world.settle(p);
   const plan = world.plans.get(p.plan);
   if (plan) plan.open--;
@@ -244,7 +245,7 @@
  * A returned task is a fenced revision: only this term's holder can write it, and the row's generation rises with
  * the round that places it anew. The plan itself is never edited.
  */
-function returnTasks(world: World, part: JobPart, note: Note): Piece | undefined {
+function returnTasks(world: SettlingWorld, part: JobPart, note: Note): Piece | undefined {
   const chosen: Placement[] = [];
   for (const group of part.groups) {
     const back = group.placements.filter((p) => !isDone(p));
@@ -277,7 +278,7 @@
  * and an end is true whatever its user did to the row meanwhile.
  */
 function noteDone(
-  world: World,
+  world: SettlingWorld,
   job: Job,
   done: readonly Placement[],
   room: number,
--- a/src/coordination/settling.ts
+++ b/src/coordination/settling/settling.ts
@@ -1,11 +1,12 @@
-import { Rank } from '../transport/budget.js';
-import { sleep } from '../transport/clock.js';
-import { jitter } from '../transport/random.js';
-import type { Mark } from '../protocol/ids.js';
-import { Keys } from '../bookkeeping/records.js';
-import type { FencedWriter } from './fenced-writer.js';
-import type { Scope } from './scope.js';
+import { Rank } from '../../transport/budget.js';
+import { sleep } from '../../transport/clock.js';
+import { jitter } from '../../transport/random.js';
+import type { Mark } from '../../protocol/ids.js';
+import { Keys } from '../../bookkeeping/records.js';
+import type { FencedWriter } from '../fenced-writer.js';
+import type { Scope } from '../scope.js';
 import { nextSettlement } from './settle.js';
+import type { SettlingWorld } from '../views.js';
 
 /** The least time between two shared finish records. */
 const GATHER_MS = 1000;
@@ -19,7 +20,7 @@
   private nudge: (() => void) | undefined;
 
   constructor(
-    private readonly s: Scope,
+    private readonly s: Scope<SettlingWorld>,
     private readonly writer: FencedWriter,
   ) {}
 
--- a/src/coordination/load.ts
+++ b/src/coordination/takeover/load.ts
@@ -1,8 +1,8 @@
-import { Rank } from '../transport/budget.js';
-import { sleep, type Clock, type SteadyMs } from '../transport/clock.js';
-import type { Log } from '../transport/log.js';
-import { err, ok, type Result } from '../transport/result.js';
-import type { Attempt, ImageName, JobId, PlanId, StoreKey, Term } from '../protocol/ids.js';
+import { Rank } from '../../transport/budget.js';
+import { sleep, type Clock, type SteadyMs } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import { err, ok, type Result } from '../../transport/result.js';
+import type { Attempt, ImageName, JobId, PlanId, StoreKey, Term } from '../../protocol/ids.js';
 import {
   finishSchema,
   noteSchema,
@@ -15,10 +15,10 @@
   unseal,
   withGeneration,
   type PlanGroup,
-} from '../bookkeeping/records.js';
-import type { Mirror, MirroredRow } from '../bookkeeping/mirror.js';
-import { AGAIN_MS, type Store } from '../bookkeeping/store.js';
-import { World, type Job } from '../bookkeeping/world.js';
+} from '../../bookkeeping/records.js';
+import type { Mirror, MirroredRow } from '../../bookkeeping/mirror.js';
+import { AGAIN_MS, type Store } from '../../bookkeeping/store.js';
+import { World, type Job } from '../../bookkeeping/world.js';
 
 /** A time of day as the steady clock would have shown it; only ages for ordering and patience hang on it. */
 export const steadyOf = (clock: Clock, wall: number): SteadyMs =>
--- a/src/coordination/peers.ts
+++ b/src/coordination/term/peers.ts
@@ -1,6 +1,6 @@
-import type { Clock, SteadyMs } from '../transport/clock.js';
-import { FrameKind, type Frame, type Mesh } from '../transport/mesh.js';
-import type { Address, JobId, MemberName, Term, ZoneName } from '../protocol/ids.js';
+import type { Clock, SteadyMs } from '../../transport/clock.js';
+import { FrameKind, type Frame, type Mesh } from '../../transport/mesh.js';
+import type { Address, JobId, MemberName, Term, ZoneName } from '../../protocol/ids.js';
 
 export interface KnownTerm {
   readonly term: Term;
--- a/src/coordination/term.ts
+++ b/src/coordination/term/term.ts
@@ -1,8 +1,8 @@
-import { Rank } from '../transport/budget.js';
-import { DRIFT, sleep, type Clock, type SteadyMs } from '../transport/clock.js';
-import type { Log } from '../transport/log.js';
-import { jitter, type Random } from '../transport/random.js';
-import { parse } from '../protocol/codec.js';
+import { Rank } from '../../transport/budget.js';
+import { DRIFT, sleep, type Clock, type SteadyMs } from '../../transport/clock.js';
+import type { Log } from '../../transport/log.js';
+import { jitter, type Random } from '../../transport/random.js';
+import { parse } from '../../protocol/codec.js';
 import {
   NO_MARK,
   type Address,
@@ -10,8 +10,8 @@
   type Mark,
   type MemberName,
   type Term,
-} from '../protocol/ids.js';
-import type { Condition } from '../protocol/state.js';
+} from '../../protocol/ids.js';
+import type { Condition } from '../../protocol/state.js';
 import {
   epochSchema,
   holderSchema,
@@ -20,8 +20,8 @@
   seal,
   unseal,
   type HolderRecord,
-} from '../bookkeeping/records.js';
-import type { Store } from '../bookkeeping/store.js';
+} from '../../bookkeeping/records.js';
+import type { Store } from '../../bookkeeping/store.js';
 import type { KnownTerm } from './peers.js';
 
 /** The same object for as long as the same holder goes on; its token and mark may rise meanwhile. */
--- a/src/coordination/client.ts
+++ b/src/coordination/users/client.ts
@@ -1,10 +1,10 @@
-import { netHttpClient } from '../transport/http-client.js';
-import type { Reply } from '../transport/http.js';
-import { err, ok, type Result } from '../transport/result.js';
-import { decode, decodeAs, encode, parse } from '../protocol/codec.js';
-import { jobAnswer, submission } from '../protocol/jobs.js';
-import { CONTENT_TYPE, F, Paths } from '../protocol/wire.js';
-import { OPS } from './controller.js';
+import { netHttpClient } from '../../transport/http-client.js';
+import type { Reply } from '../../transport/http.js';
+import { err, ok, type Result } from '../../transport/result.js';
+import { decode, decodeAs, encode, parse } from '../../protocol/codec.js';
+import { jobAnswer, submission } from '../../protocol/jobs.js';
+import { CONTENT_TYPE, F, Paths } from '../../protocol/wire.js';
+import { OPS } from '../controller.js';
 
 /** The command line's side of the users' protocol. */
 const http = netHttpClient(2, CONTENT_TYPE);
--- a/src/coordination/users.ts
+++ b/src/coordination/users/users.ts
@@ -1,10 +1,10 @@
-import { Rank } from '../transport/budget.js';
-import type { Attention } from '../transport/attention.js';
-import type { Clock } from '../transport/clock.js';
-import type { Reply } from '../transport/http.js';
-import type { Log } from '../transport/log.js';
-import { decodeAs } from '../protocol/codec.js';
-import { JOB_ID, NO_MARK, type JobId, type StoreKey, type TeamName, type Term } from '../protocol/ids.js';
+import { Rank } from '../../transport/budget.js';
+import type { Attention } from '../../transport/attention.js';
+import type { Clock } from '../../transport/clock.js';
+import type { Reply } from '../../transport/http.js';
+import type { Log } from '../../transport/log.js';
+import { decodeAs } from '../../protocol/codec.js';
+import { JOB_ID, NO_MARK, type JobId, type StoreKey, type TeamName, type Term } from '../../protocol/ids.js';
 import {
   elasticFault,
   encodeError,
@@ -12,9 +12,9 @@
   submission,
   type JobAnswer,
   type JobSpec,
-} from '../protocol/jobs.js';
-import type { Settings, TeamLimits } from '../protocol/settings.js';
-import type { Mirror, MirroredRow } from '../bookkeeping/mirror.js';
+} from '../../protocol/jobs.js';
+import type { Settings, TeamLimits } from '../../protocol/settings.js';
+import type { Mirror, MirroredRow } from '../../bookkeeping/mirror.js';
 import {
   endSchema,
   fits,
@@ -24,12 +24,13 @@
   type EndRecord,
   type Row,
   type Sealed,
-} from '../bookkeeping/records.js';
-import type { Store } from '../bookkeeping/store.js';
-import type { Peers } from './peers.js';
-import type { HeldState, PipelineUsers } from './pipelines/users.js';
-import { fitsType } from './planner.js';
-import type { TypeBook } from './types.js';
+} from '../../bookkeeping/records.js';
+import type { Store } from '../../bookkeeping/store.js';
+import type { Peers } from '../term/peers.js';
+import type { HeldState } from '../pipelines/showing.js';
+import type { PipelineUsers } from '../pipelines/users.js';
+import { fitsType } from '../rounds/eligibility.js';
+import type { TypeBook } from '../fleet/types.js';
 
 export interface UsersDeps {
   readonly clock: Clock;
--- a/test/indexes.test.ts
+++ b/test/indexes.test.ts
@@ -3,11 +3,12 @@
 import fc from 'fast-check';
 import { World as Book, waitingCount, type Machine, type Placement } from '../src/bookkeeping/world.js';
 import { Estimates } from '../src/bookkeeping/estimates.js';
-import { planFleet } from '../src/coordination/fleet-planner.js';
-import { roundGapMs } from '../src/coordination/rounds.js';
-import { planRound, type Snapshot } from '../src/coordination/planner.js';
-import { roomFor, Rooms } from '../src/coordination/rooms.js';
-import { nextSettlement } from '../src/coordination/settle.js';
+import { planFleet } from '../src/coordination/fleet/fleet-planner.js';
+import { roundGapMs } from '../src/coordination/rounds/rounds.js';
+import { planRound } from '../src/coordination/rounds/planner.js';
+import { type Snapshot } from '../src/coordination/rounds/snapshot.js';
+import { roomFor, Rooms } from '../src/coordination/rounds/rooms.js';
+import { nextSettlement } from '../src/coordination/settling/settle.js';
 import type {
   Attempt,
   ImageName,
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -16,7 +16,9 @@
 } from '../src/bookkeeping/records.js';
 import { Estimates } from '../src/bookkeeping/estimates.js';
 import { World as Book, type Job, type Machine } from '../src/bookkeeping/world.js';
-import { planRound, withinGuarantee, type Snapshot } from '../src/coordination/planner.js';
+import { withinGuarantee } from '../src/coordination/rounds/order.js';
+import { planRound } from '../src/coordination/rounds/planner.js';
+import { type Snapshot } from '../src/coordination/rounds/snapshot.js';
 import { decode, decodeAs, encode } from '../src/protocol/codec.js';
 import type { ImageName, JobId, MachineId, TeamName, Term, TypeName, ZoneName } from '../src/protocol/ids.js';
 import { encodeSubmission, submission, type JobSpec } from '../src/protocol/jobs.js';
--- a/test/proofs.test.ts
+++ b/test/proofs.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { Estimates } from '../src/bookkeeping/estimates.js';
 import { World as Book, type Placement } from '../src/bookkeeping/world.js';
-import { handleOrderReply, handleReport, type CommandContext } from '../src/coordination/command.js';
+import { handleOrderReply, handleReport, type CommandContext } from '../src/coordination/orders/reports.js';
 import type {
   Address,
   Attempt,
@@ -28,7 +28,11 @@
 /** What proves that a task is off its machine, and what doesn't. Each case is one that let tasks run twice. */
 const TERM = 5n as Term;
 
-function setUp(): { ctx: CommandContext; p: Placement; report: (f: Partial<Report>) => Report } {
+function setUp(): {
+  ctx: CommandContext & { readonly world: Book };
+  p: Placement;
+  report: (f: Partial<Report>) => Report;
+} {
   const world = new Book(TERM);
   const clock = new ProcessClock(new World(), 1, 0);
   const job = world.addJob(
@@ -87,7 +91,7 @@
     'p' as PlanId,
     clock.now(),
   );
-  const ctx: CommandContext = {
+  const ctx = {
     world,
     clock,
     log: silentLog,
--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -9,14 +9,24 @@
 const root = fileURLToPath(new URL('../../../test/scenarios', import.meta.url));
 const SEEDS = 3;
 
+/** The texts that a file with `each` lines stands for, one for every combination of their values. */
+function variants(text: string): string[] {
+  const line = /^each (\w+) (.+)\n/m.exec(text);
+  if (!line) return [text];
+  const rest = text.replace(line[0], '');
+  return line[2]!.split(' ').flatMap((value) => variants(rest.replaceAll(`{${line[1]}}`, value)));
+}
+
 for (const file of readdirSync(root).sort()) {
   const text = readFileSync(join(root, file), 'utf8');
   test(`scenario ${file}`, async () => {
     // Large ones say that one luck is enough: the suite stays quick.
     const seeds = Number(/^set .*\bseeds=(\d+)/m.exec(text)?.[1] ?? SEEDS);
-    for (let seed = 1; seed <= seeds; seed++) {
-      const { failures } = await runScenario(`${text}\nset seed=${seed}`);
-      assert.deepEqual(failures, [], `seed ${seed}`);
+    for (const variant of variants(text)) {
+      for (let seed = 1; seed <= seeds; seed++) {
+        const { failures } = await runScenario(`${variant}\nset seed=${seed}`);
+        assert.deepEqual(failures, [], `seed ${seed} of ${/^at .*hook.*/m.exec(variant)?.[0] ?? file}`);
+      }
     }
   });
 }
--- a/test/standin/scenario.ts
+++ b/test/standin/scenario.ts
@@ -22,8 +22,9 @@
  *     at 5 stall holder 3           (its timers and all it is sent wait so long)
  *     at 5 cut holder store hold 20 (what: store cloud peers workers all; how: drop hold reset)
  *     on plan/ 1 crash-after        (the nth transaction that touches the prefix)
- *     at 9 hook plan/ 1 hold 20     (the same, counted from then on)
+ *     at 9 hook plan/ 1 hold 20     (the same, counted from then on; `*`: any key)
  *     expect req-000001 done by 30
+ *     each n 1 2 3                  (played once for each value; `{n}` stands for it in all other lines)
  *
  * Pipelines (with `set pipelines=1`): steps are declared, then the pipeline is sent.
  *
@@ -265,7 +266,7 @@
       for (const k of Object.keys(u.counted) as (keyof Tally)[]) u.counted[k] -= u.marked[k];
       return;
     case 'hook':
-      u.store.hooks.push({ prefix: w[0]!, nth: Number(w[1]), fault: fault(w.slice(2)) });
+      u.store.hooks.push({ prefix: w[0] === '*' ? '' : w[0]!, nth: Number(w[1]), fault: fault(w.slice(2)) });
       return;
     case 'cancel':
       return void u.cancel(w[0]!);
