--- a/src/commands.ts
+++ b/src/commands.ts
@@ -64,6 +64,11 @@
     pipelineCommands(program, { read, fail, exit: EXIT, explain: explainRemote, namesPath: OPS.names });
   }
 
+  if (['state', 'help', '--help', '-h'].includes(process.argv[2] ?? '')) {
+    const { stateCommands } = await import('./state/index.js');
+    stateCommands(program, (result) => report(result));
+  }
+
   try {
     await program.parseAsync();
   } catch (e) {
--- a/src/transport/attention.ts
+++ b/src/transport/attention.ts
@@ -1,4 +1,4 @@
-import type { Clock, SteadyMs } from './clock.js';
+import type { Clock, SteadyMs, Timer } from './clock.js';
 
 const BEAT_MS = 100;
 /** Timers come a few milliseconds late on any machine; more than this is a stall. */
@@ -23,14 +23,20 @@
   private looked: SteadyMs;
   private lost = 0;
   private stalls: Stall[] = [];
+  private timer: Timer;
 
   constructor(private readonly clock: Clock) {
     this.looked = clock.now();
     const beat = (): void => {
       this.look();
-      clock.after(BEAT_MS, beat);
+      this.timer = clock.after(BEAT_MS, beat);
     };
-    clock.after(BEAT_MS, beat);
+    this.timer = clock.after(BEAT_MS, beat);
+  }
+
+  /** Nobody is listened for any more. */
+  stop(): void {
+    this.timer.cancel();
   }
 
   /** A stall shows wherever the process first looks at the clock again, which may be before the next beat. */
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -1,24 +1,33 @@
-import { Agent, request } from 'node:http';
+import { Agent, request, type AgentOptions } from 'node:http';
 import { err, ok, type Result } from './result.js';
-import type { CallFailure, HttpClient, Reply } from './http.js';
+import type { CallFailure, HttpClient, Reply, Signer } from './http.js';
 
 /** Longer than any answer may take, the longest watch included. */
 const IDLE_MS = 15_000;
 
+type AgentMaker = (options: AgentOptions) => Agent;
+
 /**
  * Keep-alive connections with a deadline on every call. A call that misses its deadline loses its
  * connection too: a held connection would otherwise swallow the calls behind it.
  */
-export function netHttpClient(maxSockets: number, contentType: string, idleMs = IDLE_MS): HttpClient {
+export function netHttpClient(
+  maxSockets: number,
+  contentType: string,
+  idleMs = IDLE_MS,
+  /** How requests are signed, and what stands in for plain connections. */
+  further: { readonly sign?: Signer | undefined; readonly agentOf?: AgentMaker | undefined } = {},
+): HttpClient {
   // A connection to each of a thousand workers, and to those long gone, would use up this node's sockets: one that
   // nobody has used for a while is closed.
-  const agent = new Agent({
+  const options = {
     keepAlive: true,
     maxSockets,
     maxFreeSockets: 16,
     scheduling: 'fifo',
     timeout: idleMs,
-  });
+  } as const;
+  const agent = further.agentOf?.(options) ?? new Agent(options);
   const attempt = (
     address: string,
     method: string,
@@ -30,13 +39,17 @@
       const colon = address.lastIndexOf(':');
       let connected = false;
       let settled = false;
-      const headers: Record<string, string> = { connection: 'keep-alive' };
+      const headers: Record<string, string> = {
+        connection: 'keep-alive',
+        ...further.sign?.(method, path, body),
+      };
       if (body) {
         headers['content-type'] = contentType;
         headers['content-length'] = String(body.length);
       }
       const req = request({
         agent,
+        ...(further.agentOf ? { protocol: 'https:' } : {}),
         host: address.slice(0, colon),
         port: Number(address.slice(colon + 1)),
         method,
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
+import type { ServerOptions as TlsOptions, Server as TlsServer } from 'node:https';
 import { createAdaptorServer, type HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
-import type { Reply, Route } from './http.js';
+import type { Guard, Reply, RequestHead, Route } from './http.js';
 
 export interface ServerOptions {
   readonly maxBody: number;
@@ -10,6 +11,15 @@
   /** The body of an error answer that no route gave. */
   readonly errorBody: (message: string) => Uint8Array;
   readonly maxConnections: number;
+  /** Asked before every route. */
+  readonly guard?: Guard | undefined;
+  /** Makes the server speak TLS. */
+  readonly secure?:
+    | {
+        readonly createServer: (options: TlsOptions, listener?: unknown) => TlsServer;
+        readonly options: TlsOptions;
+      }
+    | undefined;
 }
 
 const NOTHING = new Uint8Array();
@@ -75,9 +85,11 @@
           connection: 'close',
         });
       }
+      const head = incoming as RequestHead;
       return send(
         outgoing as ServerResponse,
-        await route.handle(c.req.param() as Record<string, string>, body),
+        options.guard?.(head, body) ??
+          (await route.handle(c.req.param() as Record<string, string>, body, head)),
       );
     });
   }
@@ -99,10 +111,16 @@
   bind: string,
   routes: readonly Route[],
   options: ServerOptions,
-): Promise<{ readonly port: number; close(): void }> {
+): Promise<{ readonly port: number; readonly server: unknown; close(): void }> {
   const app = buildApp(routes, options);
   const colon = bind.lastIndexOf(':');
-  const server = createAdaptorServer({ fetch: app.fetch, overrideGlobalObjects: false });
+  const server = createAdaptorServer({
+    fetch: app.fetch,
+    overrideGlobalObjects: false,
+    ...(options.secure
+      ? { createServer: options.secure.createServer as never, serverOptions: options.secure.options as never }
+      : {}),
+  });
   // Sockets are kept back for the state service, the cloud and the mesh.
   server.maxConnections = options.maxConnections;
   if ('keepAliveTimeout' in server) server.keepAliveTimeout = 75_000;
@@ -110,7 +128,14 @@
     server.once('error', reject);
     server.listen(Number(bind.slice(colon + 1)), bind.slice(0, colon), 1024, () => {
       const at = server.address();
-      resolve({ port: typeof at === 'object' && at ? at.port : 0, close: () => void server.close() });
+      resolve({
+        port: typeof at === 'object' && at ? at.port : 0,
+        server,
+        close: () => {
+          server.close();
+          if ('closeAllConnections' in server) server.closeAllConnections();
+        },
+      });
     });
   });
 }
--- a/src/transport/http.ts
+++ b/src/transport/http.ts
@@ -22,10 +22,28 @@
   ): Promise<Result<Reply, CallFailure>>;
 }
 
-export type Handler = (params: Readonly<Record<string, string>>, body: Uint8Array) => Promise<Reply> | Reply;
+/** What of a request isn't its path's parameters or its body. */
+export interface RequestHead {
+  readonly method?: string | undefined;
+  /** Path and query, as sent. */
+  readonly url?: string | undefined;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}
+
+export type Handler = (
+  params: Readonly<Record<string, string>>,
+  body: Uint8Array,
+  head: RequestHead,
+) => Promise<Reply> | Reply;
+
+/** Looks at a request before its route does: the refusal, or undefined where it may go on. */
+export type Guard = (head: RequestHead, body: Uint8Array) => Reply | undefined;
+
+/** Further headers of a request that is about to be sent. */
+export type Signer = (method: string, path: string, body: Uint8Array | undefined) => Record<string, string>;
 
 export interface Route {
-  readonly method: 'GET' | 'POST';
+  readonly method: 'GET' | 'POST' | 'DELETE';
   /** A path in hono's notation, `/v1/jobs/:id`. */
   readonly path: string;
   readonly handle: Handler;
--- /dev/null
+++ b/test/measure/state-filler.ts
@@ -0,0 +1,36 @@
+import { F, Paths } from '../../src/protocol/wire.js';
+import { encode } from '../../src/protocol/codec.js';
+import { openStorage, StateService } from '../../src/state/index.js';
+import { systemClock } from '../../src/transport/clock.js';
+import { silentLog } from '../../src/transport/log.js';
+import { Metrics } from '../../src/transport/metrics.js';
+
+/** Writes until the disk refuses, and prints how much was promised before. Started by a test under a limit on file sizes. */
+const folder = process.argv[2]!;
+const service = await StateService.open({
+  clock: systemClock,
+  log: silentLog,
+  metrics: new Metrics(),
+  limits: { rps: 1e6, writeRps: 1e6, txnOps: 12, valueKb: 16 },
+  open: () => openStorage(folder),
+});
+const txn = service.routes.find((r) => r.path === Paths.txn)!;
+let committed = 0;
+let refused = 0;
+let unanswered = 0;
+const give = (): never => {
+  process.stdout.write(JSON.stringify({ committed, refused, unanswered }));
+  process.exit(0);
+};
+for (let i = 0; i < 2000; i++) {
+  const body = encode({ [F.then]: [{ [F.put]: `fill/${i}`, [F.value]: { n: i, text: 'x'.repeat(2000) } }] });
+  const timer = setTimeout(() => {
+    unanswered++;
+    give();
+  }, 3000);
+  const r = await txn.handle({}, body, { headers: {} });
+  clearTimeout(timer);
+  if (r.status === 200) committed++;
+  else if (++refused >= 3) give();
+}
+give();
--- a/test/standin/store.ts
+++ b/test/standin/store.ts
@@ -20,6 +20,17 @@
 
 type WireMap = Record<string, unknown>;
 
+const HISTORY = 10_000;
+const isMap = (v: unknown): boolean => typeof v === 'object' && v !== null && !Array.isArray(v);
+const isKey = (v: unknown): boolean =>
+  typeof v === 'string' && /^\S{1,200}$/.test(v) && Buffer.byteLength(v) <= 200;
+
+const wellFormed = (map: WireMap, changes: unknown): boolean =>
+  Array.isArray(changes) &&
+  Array.isArray(map[F.if] ?? []) &&
+  ((map[F.if] ?? []) as WireMap[]).every((c) => isMap(c) && isKey(c[F.key]) && Number(c[F.mark]) >= 0) &&
+  (changes as WireMap[]).every((c) => isMap(c) && isKey(c[F.put] ?? c[F.delete]));
+
 const never = (): Promise<Reply> => new Promise(() => undefined);
 const reply = (status: number, body: unknown): Reply => ({ status, body: encode(body) });
 
@@ -102,25 +113,35 @@
     const [route, query] = path.split('?') as [string, string | undefined];
     const q = new URLSearchParams(query ?? '');
     const data = body.length > 0 ? decode(body) : undefined;
+    if (method === 'POST' && !route.endsWith(Paths.renewEnd) && !(data?.ok && isMap(data.value)))
+      return reply(400, {});
     const map = (data?.ok ? data.value : {}) as WireMap;
     const changes = (map[F.then] ?? []) as WireMap[];
+    if (route === Paths.txn && !wellFormed(map, changes)) return reply(400, {});
     if (!this.takeTokens(changes.length)) return reply(429, {});
     if (route === Paths.txn) return this.txnWithHooks(from, map, changes);
     if (route === Paths.leases) {
       const id = this.nextLease++;
       const ttl = Number(map[F.ttlMs]);
+      if (!(ttl >= 100 && ttl <= 600_000)) return reply(400, {});
       this.leases.set(id, { until: this.world.now + ttl, ttl });
       return reply(200, { [F.lease]: id });
     }
     if (route.startsWith(`${Paths.leases}/`)) return this.lease(method, route);
     if (route === Paths.changes) {
-      return this.watch(q.get(F.prefix) ?? '', Number(q.get(F.after)), Number(q.get(F.waitMs) ?? 0), from);
+      return this.watch(
+        q.get(F.prefix) ?? '',
+        Number(q.get(F.after) ?? NaN),
+        Number(q.get(F.waitMs) ?? 0),
+        from,
+      );
     }
     if (route === Paths.keys) return this.range(q);
     const key = route.slice(Paths.keys.length + 1);
     const kept = this.keys.get(key);
     if (!kept) return reply(404, { [F.revision]: this.revision });
-    return reply(200, { [F.key]: key, [F.value]: kept.value, [F.mark]: kept.mark });
+    const tether = kept.lease === undefined ? {} : { [F.lease]: kept.lease };
+    return reply(200, { [F.key]: key, [F.value]: kept.value, [F.mark]: kept.mark, ...tether });
   }
 
   private lease(method: string, route: string): Reply {
@@ -137,19 +158,29 @@
     const after = q.get(F.after) ?? '';
     const limit = Math.min(1000, Number(q.get(F.limit) ?? 1000));
     const keys = [...this.keys.keys()].filter((k) => k.startsWith(prefix) && k > after).sort();
+    const shown: unknown[] = [];
+    let size = 0;
+    for (const key of keys.slice(0, limit)) {
+      const kept = this.keys.get(key)!;
+      const entry = { [F.key]: key, [F.value]: kept.value, [F.mark]: kept.mark };
+      // Counting costs; only pages of large values come near the limit.
+      size += limit > 100 && typeof kept.value === 'string' ? kept.value.length + 60 : 0;
+      if (size > 512 * 1024) break;
+      shown.push(entry);
+    }
     return reply(200, {
-      [F.items]: keys.slice(0, limit).map((key) => {
-        const kept = this.keys.get(key)!;
-        return { [F.key]: key, [F.value]: kept.value, [F.mark]: kept.mark };
-      }),
-      [F.more]: keys.length > limit,
+      [F.items]: shown,
+      [F.more]: keys.length > shown.length,
       [F.revision]: this.revision,
     });
   }
 
   private async watch(prefix: string, since: number, waitMs: number, from: string): Promise<Reply> {
     const until = this.world.now + waitMs;
+    if (waitMs > 60_000 || Number.isNaN(since)) return reply(400, {});
     for (;;) {
+      const oldest = this.log.length > HISTORY ? this.log[this.log.length - HISTORY - 1]!.mark : 0;
+      if (since < oldest) return reply(410, {});
       const blocked = this.outage || this.refused.has(from);
       const events = blocked ? [] : this.log.filter((e) => e.mark > since && e.key.startsWith(prefix));
       if (events.length > 0 || (this.world.now >= until && !blocked)) {
--- a/test/standin/universe.ts
+++ b/test/standin/universe.ts
@@ -62,7 +62,12 @@
   return (_from, method, path, body) => {
     for (const r of table) {
       const m = r.method === method ? r.pattern.exec(path) : null;
-      if (m) return r.handle(Object.fromEntries(r.names.map((n, i) => [n, m[i + 1]!])), body);
+      if (m)
+        return r.handle(Object.fromEntries(r.names.map((n, i) => [n, m[i + 1]!])), body, {
+          method,
+          url: path,
+          headers: {},
+        });
     }
     return { status: 404, body: encodeError('no such path') };
   };
