The appliance: agent, provider, and a site on one machine from one command

Change: src/agent is the protocol's worker on ordinary process groups: a group's leader waits for a word before it runs anything and ends the group when its agent's pipe closes, so nothing starts unrecorded and nothing runs on unseen; an earlier life's groups are ended before the first report; session, token and claim outlive the process. Gangs meet in the state service. src/provider is the cloud's protocol over the operator's machines, with drains told as notices. src/appliance wires state, provider, agent and one controller in one process: init, up, down, status, log. Jobs carry argv, env and image_path; descriptions are kept beside the state and never change.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,12 @@
  * their own above the layers they use, and one public entry.
  */
 const layers = ['transport', 'protocol', 'bookkeeping', 'coordination'];
-const subsystems = { pipelines: ['transport', 'protocol'], state: ['transport', 'protocol'] };
+const subsystems = {
+  pipelines: ['transport', 'protocol'],
+  state: ['transport', 'protocol'],
+  agent: ['transport', 'protocol'],
+  provider: ['transport', 'protocol'],
+};
 const layerRules = layers.map((layer, i) => ({
   files: [`src/${layer}/**/*.ts`],
   rules: {
--- /dev/null
+++ b/src/appliance/index.ts
@@ -0,0 +1,4 @@
+/** A whole site on one machine: state, provider, agent and controller, with nothing else needed. */
+export { applianceCommands, type ApplianceHost } from './commands.js';
+export { parseSite, template, type Site } from './settings.js';
+export { folders, startSite, type RunningSite } from './site.js';
--- /dev/null
+++ b/src/appliance/log.ts
@@ -0,0 +1,19 @@
+import { mkdirSync } from 'node:fs';
+import { pino } from 'pino';
+import { createStream } from 'rotating-file-stream';
+import type { Log } from '../transport/log.js';
+
+/** The site's log: one line a decision, in files that don't grow without end. */
+export function fileLog(folder: string, member: string): Log {
+  mkdirSync(folder, { recursive: true });
+  const file = createStream('gorseyoke.log', { path: folder, size: '10M', maxFiles: 5 });
+  file.on('error', () => undefined);
+  const logger = pino({ base: { member }, formatters: { level: (label) => ({ level: label }) } }, file);
+  const plain = (fields: Record<string, unknown> = {}): Record<string, unknown> =>
+    Object.fromEntries(Object.entries(fields).map(([k, v]) => [k, typeof v === 'bigint' ? Number(v) : v]));
+  return {
+    error: (event, fields) => logger.error(plain(fields), event),
+    info: (event, fields) => logger.info(plain(fields), event),
+    debug: () => undefined,
+  };
+}
--- /dev/null
+++ b/src/appliance/settings.ts
@@ -0,0 +1,187 @@
+import * as z from 'zod';
+import { err, ok, type Result } from '../transport/result.js';
+import { MAX_TASKS } from '../protocol/jobs.js';
+
+/** One machine, and what stands on it by default: everything. */
+export interface Site {
+  readonly name: string;
+  readonly data: string;
+  readonly host: string;
+  /** First of five ports: users, peers, state, machines, agent. */
+  readonly port: number;
+  readonly machine: { readonly cpus: number; readonly cards: number; readonly memoryGb: number };
+  readonly niceness: number;
+  readonly images: number;
+  readonly output: { readonly mb: number; readonly files: number };
+  readonly teams: readonly {
+    readonly name: string;
+    readonly cpus: number;
+    readonly cpusMax: number;
+    readonly cards: number;
+    readonly cardsMax: number;
+  }[];
+  readonly timing: {
+    readonly reportS: number;
+    readonly leaseS: number;
+    readonly gangWaitS: number;
+    readonly gangPeerS: number;
+    readonly cancelS: number;
+  };
+  readonly pipelines: boolean;
+  readonly elastic: boolean;
+}
+
+interface Node {
+  readonly type: 'list' | 'atom' | 'string';
+  readonly content: string | readonly Node[];
+  readonly location: { readonly start: { readonly line: number; readonly column: number } };
+}
+
+const number = (min: number, max: number) =>
+  z
+    .string()
+    .transform(Number)
+    .refine((n) => Number.isFinite(n) && n >= min && n <= max, `must be a number from ${min} to ${max}`);
+const word = z.string().regex(/^[a-z][a-z0-9-]{0,40}$/, 'must be a word of small letters, digits and dashes');
+const yes = z.enum(['yes', 'no']).transform((w) => w === 'yes');
+
+/** Each setting: how its words are read, and what stands where it isn't given. */
+const KNOBS = {
+  site: { read: word, fallback: 'site' },
+  data: { read: z.string().min(1), fallback: '' },
+  host: { read: z.string().regex(/^[0-9A-Za-z.]+$/, 'must be a name or an address'), fallback: '127.0.0.1' },
+  port: { read: number(1, 65_531), fallback: 8080 },
+  cpus: { read: number(0.1, 4096), fallback: 1 },
+  cards: { read: number(0, 64), fallback: 0 },
+  'memory-gb': { read: number(0.1, 65_536), fallback: 1 },
+  niceness: { read: number(0, 19), fallback: 5 },
+  images: { read: number(1, 10_000), fallback: 20 },
+  'output-mb': { read: number(0.01, 10_000), fallback: 10 },
+  'output-files': { read: number(2, 100), fallback: 3 },
+  'report-s': { read: number(0.2, 60), fallback: 2 },
+  'lease-s': { read: number(1, 600), fallback: 20 },
+  'gang-wait-s': { read: number(1, 3600), fallback: 60 },
+  'gang-peer-s': { read: number(1, 600), fallback: 10 },
+  'cancel-s': { read: number(2, 3600), fallback: 60 },
+  pipelines: { read: yes, fallback: true },
+  elastic: { read: yes, fallback: true },
+} as const;
+
+const TEAM = ['cpus', 'cpus-max', 'cards', 'cards-max'] as const;
+
+const text = (n: Node): string | undefined => (n.type === 'list' ? undefined : (n.content as string));
+
+/** Every fault with its place, not just the first. */
+export async function parseSite(source: string): Promise<Result<Site, readonly string[]>> {
+  // @ts-expect-error the package brings no types
+  const loaded = (await import('sexpr-plus')) as { default: { parse(text: string): readonly Node[] } };
+  let nodes: readonly Node[];
+  try {
+    nodes = loaded.default.parse(source);
+  } catch (e) {
+    return err([`not S-expressions: ${(e as Error).message.split('\n')[0]}`]);
+  }
+  const faults: string[] = [];
+  const values: Record<string, unknown> = {};
+  const teams: Site['teams'][number][] = [];
+  for (const node of nodes) {
+    const { line, column } = node.location.start;
+    const fault = (what: string): void => void faults.push(`line ${line}, column ${column}: ${what}`);
+    const parts = node.type === 'list' ? (node.content as readonly Node[]) : [];
+    const name = parts[0] && text(parts[0]);
+    if (name === undefined) fault('expected (name value)');
+    else if (name === 'team') {
+      const team = readTeam(parts.slice(1), fault);
+      if (team && teams.some((t) => t.name === team.name)) fault(`team '${team.name}' is there twice`);
+      else if (team) teams.push(team);
+    } else if (!Object.hasOwn(KNOBS, name)) fault(`unknown setting '${name}'`);
+    else if (name in values) fault(`'${name}' is set twice`);
+    else if (parts.length !== 2 || text(parts[1]!) === undefined) fault(`expected (${name} value)`);
+    else {
+      const read = KNOBS[name as keyof typeof KNOBS].read.safeParse(text(parts[1]!));
+      if (read.success) values[name] = read.data;
+      else fault(`${name}: ${read.error.issues[0]?.message ?? 'invalid'}`);
+    }
+  }
+  const get = <K extends keyof typeof KNOBS>(name: K) =>
+    (values[name] ?? KNOBS[name].fallback) as z.infer<(typeof KNOBS)[K]['read']>;
+  if (get('data') === '') faults.push('(data "/a/folder") is missing: where everything is kept');
+  if (teams.length === 0) faults.push('(team name …) is missing: jobs belong to a team');
+  if (get('cancel-s') <= get('lease-s') + 2) faults.push('cancel-s must be more than 2 s above lease-s');
+  if (get('lease-s') < 3 * get('report-s')) faults.push('lease-s must be at least three times report-s');
+  if (faults.length > 0) return err(faults);
+  return ok({
+    name: get('site'),
+    data: get('data'),
+    host: get('host'),
+    port: get('port'),
+    machine: { cpus: get('cpus'), cards: get('cards'), memoryGb: get('memory-gb') },
+    niceness: get('niceness'),
+    images: get('images'),
+    output: { mb: get('output-mb'), files: get('output-files') },
+    teams,
+    timing: {
+      reportS: get('report-s'),
+      leaseS: get('lease-s'),
+      gangWaitS: get('gang-wait-s'),
+      gangPeerS: get('gang-peer-s'),
+      cancelS: get('cancel-s'),
+    },
+    pipelines: get('pipelines'),
+    elastic: get('elastic'),
+  });
+}
+
+function readTeam(parts: readonly Node[], fault: (what: string) => void): Site['teams'][number] | undefined {
+  const name = word.safeParse(parts[0] && text(parts[0]));
+  if (!name.success) {
+    fault('a team needs a name: (team physics (cards-max 4))');
+    return undefined;
+  }
+  const team: Record<string, number> = {};
+  for (const p of parts.slice(1)) {
+    const pair = p.type === 'list' ? (p.content as readonly Node[]).map(text) : [];
+    const value = number(0, MAX_TASKS).safeParse(pair[1]);
+    if (pair.length !== 2 || !TEAM.includes(pair[0] as (typeof TEAM)[number]) || !value.success) {
+      fault(`team '${name.data}': expected (${TEAM.join(' n), (')} n)`);
+      return undefined;
+    }
+    team[pair[0]!] = value.data;
+  }
+  return {
+    name: name.data,
+    cpus: team['cpus'] ?? 0,
+    cpusMax: team['cpus-max'] ?? 0,
+    cards: team['cards'] ?? 0,
+    cardsMax: team['cards-max'] ?? 0,
+  };
+}
+
+/** What `init` writes: every setting, with what it means. */
+export const template = (
+  data: string,
+  cpus: number,
+  memoryGb: number,
+): string => `; Settings of this site. One setting a line; what is behind a semicolon is a remark.
+
+(site home)                     ; its name, in logs
+(data "${data}")                ; everything is kept below this folder: the state, outputs, images, logs
+(host 127.0.0.1)                ; where it listens; without keys this must be the machine itself
+(port 8080)                     ; users; the four ports after it are its own parts
+
+(cpus ${cpus})                         ; what of this machine jobs may use
+(memory-gb ${memoryGb})
+(cards 0)                       ; accelerators, numbered from 0 in GORSEYOKE_CARDS
+
+(team main)                     ; jobs belong to a team; limits are (cpus-max 8) and (cards-max 2), guarantees (cpus 4) and (cards 1)
+
+; (niceness 5)                  ; how far tasks stand back behind other programs, 0 to 19
+; (images 20)                   ; so many images are kept here
+; (output-mb 10)                ; size of one output file of a task, and how many are kept of each
+; (output-files 3)
+; (report-s 2)                  ; how often this machine reports
+; (lease-s 20)                  ; tasks end when nobody has answered for so long
+; (cancel-s 60)                 ; a cancelled job is gone after so long at the latest
+; (pipelines yes)
+; (elastic yes)
+`;
--- a/src/commands.ts
+++ b/src/commands.ts
@@ -69,6 +69,11 @@
     stateCommands(program, (result) => report(result));
   }
 
+  if (['appliance', 'help', '--help', '-h'].includes(process.argv[2] ?? '')) {
+    const { applianceCommands } = await import('./appliance/index.js');
+    applianceCommands(program, { read, fail, exit: EXIT });
+  }
+
   try {
     await program.parseAsync();
   } catch (e) {
--- a/src/coordination/users/client.ts
+++ b/src/coordination/users/client.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from '../../transport/result.js';
 import { decode, decodeAs, encode, parse } from '../../protocol/codec.js';
 import { jobAnswer, submission } from '../../protocol/jobs.js';
+import { D, DescriptionPaths, descriptionOf } from '../../protocol/descriptions.js';
 import { CONTENT_TYPE, F, Paths } from '../../protocol/wire.js';
 import { OPS } from '../controller.js';
 
@@ -30,6 +31,10 @@
     const counts = done === undefined ? '' : `, ${done} done, ${running ?? 0} running`;
     return ok(`${id}: ${state}${counts}`);
   }
+  return refusal(reply.value);
+}
+
+function refusal({ status, body }: Reply): Result<string, string> {
   const data = body ? decode(body) : undefined;
   const text = data?.ok ? (data.value as Record<string, unknown> | null)?.[F.error] : undefined;
   return err(`refused with ${status}${typeof text === 'string' ? `: ${text}` : ''}`);
@@ -48,6 +53,18 @@
   }
   const spec = parse(submission, value);
   if (!spec.ok) return err(`${file}: ${spec.error}`);
+  // What it is to run goes before it: workers fetch that themselves, and may do so as soon as it is accepted.
+  if (D.argv in (value as object)) {
+    const described = descriptionOf(value);
+    if (!described.ok) return err(`${file}: ${described.error}`);
+    const kept = await ask(address, 'POST', DescriptionPaths.all, encode(value));
+    if (!kept.ok) return kept;
+    const { status } = kept.value;
+    if (status !== 200 && status !== 201)
+      return status === 404
+        ? err(`${address} keeps no descriptions: it is no appliance`)
+        : refusal(kept.value);
+  }
   return answerOf(await ask(address, 'POST', Paths.jobs, encode(value)));
 }
 
--- /dev/null
+++ b/test/cuts/cuts.ts
@@ -0,0 +1,253 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import {
+  appendFileSync,
+  existsSync,
+  mkdirSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  writeFileSync,
+} from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { decodeAs, encode } from '../../src/protocol/codec.js';
+import { DescriptionPaths } from '../../src/protocol/descriptions.js';
+import { jobAnswer, type JobAnswer } from '../../src/protocol/jobs.js';
+import { CONTENT_TYPE, F, Paths } from '../../src/protocol/wire.js';
+import { netHttpClient } from '../../src/transport/http-client.js';
+import type { Random } from '../../src/transport/random.js';
+
+/**
+ * Power cuts against a real site with real processes: everything is killed at once, at a random moment under load, and started
+ * again. A task that finds its earlier self still running says so in a file that the cut can't reach.
+ */
+const MAIN = fileURLToPath(new URL('../../src/main.js', import.meta.url));
+const http = netHttpClient(8, CONTENT_TYPE);
+
+export const pause = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
+
+const TASK = `
+l="$SHARED/$GORSEYOKE_JOB-$GORSEYOKE_INDEX"
+if [ -f "$l" ] && kill -0 "$(cat "$l")" 2>/dev/null; then echo "$GORSEYOKE_JOB/$GORSEYOKE_INDEX" >> "$SHARED/beside"; fi
+echo $$ > "$l"
+echo "$GORSEYOKE_JOB/$GORSEYOKE_INDEX" >> "$SHARED/starts"
+sleep "$1"
+rm -f "$l"
+`;
+
+export interface SiteFolder {
+  readonly file: string;
+  readonly data: string;
+  readonly shared: string;
+  readonly address: string;
+}
+
+export function makeSite(port: number, more = ''): SiteFolder {
+  const folder = mkdtempSync(join(tmpdir(), 'gorseyoke-site-'));
+  const shared = join(folder, 'shared');
+  mkdirSync(shared);
+  const file = join(folder, 'site.sexp');
+  writeFileSync(
+    file,
+    `(site test) (data "data") (port ${port}) (cpus 6) (memory-gb 4) (team main)
+     (report-s 0.5) (lease-s 6) (cancel-s 20) ${more}`,
+  );
+  return { file, data: join(folder, 'data'), shared, address: `127.0.0.1:${port}` };
+}
+
+export const startProcess = (site: SiteFolder): ChildProcess =>
+  spawn(process.execPath, [MAIN, 'appliance', 'up', '--foreground', '--site', site.file], {
+    stdio: 'ignore',
+    detached: true,
+  });
+
+export async function untilUp(site: SiteFolder, ms = 30_000): Promise<number> {
+  const from = performance.now();
+  for (;;) {
+    const r = await http.call(site.address, 'GET', Paths.health, undefined, 500);
+    if (r.ok && r.value.status === 200) return performance.now() - from;
+    if (performance.now() - from > ms) throw new Error('the site did not come up');
+    await pause(50);
+  }
+}
+
+export function job(
+  site: SiteFolder,
+  n: number,
+  kind: string,
+  tasks: number,
+  runS: number,
+): Record<string, unknown> {
+  return {
+    [F.id]: `req-${String(n).padStart(6, '0')}`,
+    [F.class]: 'cuts',
+    [F.team]: 'main',
+    [F.kind]: kind,
+    // Replicas are looked for after each cut: they don't wait behind the load.
+    [F.priority]: kind === 'daemon' ? 'critical' : 'standard',
+    [F.tasks]: tasks,
+    [F.cpus]: 1,
+    [F.gpus]: 0,
+    [F.memoryGb]: 0.01,
+    [F.image]: 'none',
+    [F.imageGb]: 0,
+    [F.oneZone]: false,
+    [F.spread]: false,
+    [F.spot]: false,
+    [F.estimateS]: runS,
+    [F.checkpointS]: 0,
+    [F.saveS]: 0,
+    argv: ['/bin/sh', '-c', TASK, 'task', String(runS)],
+    env: { SHARED: site.shared },
+  };
+}
+
+/** Status, or 0 where nobody answered. */
+export async function submit(site: SiteFolder, value: Record<string, unknown>): Promise<number> {
+  const body = encode(value);
+  const kept = await http.call(site.address, 'POST', DescriptionPaths.all, body, 3000);
+  if (!kept.ok || kept.value.status > 201) return kept.ok ? kept.value.status : 0;
+  const r = await http.call(site.address, 'POST', Paths.jobs, body, 3000);
+  return r.ok ? r.value.status : 0;
+}
+
+export async function show(site: SiteFolder, id: string): Promise<JobAnswer | number> {
+  const r = await http.call(site.address, 'GET', Paths.job.replace(':id', id), undefined, 3000);
+  if (!r.ok) return 0;
+  const answer = r.value.status === 200 ? decodeAs(jobAnswer, r.value.body) : undefined;
+  return answer?.ok ? answer.value : r.value.status;
+}
+
+/** The power goes: the site and every process of its tasks, at once. */
+export function cut(site: SiteFolder, process_: ChildProcess, tasksToo: boolean): void {
+  const groups: number[] = [];
+  const folder = join(site.data, 'processes');
+  if (tasksToo && existsSync(folder)) {
+    for (const f of readdirSync(folder).filter((n) => n.endsWith('.json'))) {
+      try {
+        groups.push((JSON.parse(readFileSync(join(folder, f), 'utf8')) as { pid: number }).pid);
+      } catch {
+        // Just being written, or just gone.
+      }
+    }
+  }
+  for (const target of [process_.pid!, ...groups.map((g) => -g)]) {
+    try {
+      process.kill(target, 'SIGKILL');
+    } catch {
+      // Gone already.
+    }
+  }
+}
+
+export interface CutResult {
+  readonly cuts: number;
+  readonly accepted: number;
+  readonly starts: number;
+  readonly faults: string[];
+  /** Milliseconds from the start of the process to users served, and to all services running, of each restart. */
+  readonly serving: number[];
+  readonly whole: number[];
+}
+
+const text = (path: string): string => (existsSync(path) ? readFileSync(path, 'utf8') : '');
+
+export async function cutOften(
+  count: number,
+  port: number,
+  random: Random,
+  tell: (line: string) => void = () => undefined,
+): Promise<CutResult> {
+  const site = makeSite(port);
+  const faults: string[] = [];
+  const serving: number[] = [];
+  const whole: number[] = [];
+  const accepted = new Map<string, { kind: string; done: boolean }>();
+  const sent = new Map<string, Record<string, unknown>>();
+  let next = 1;
+  let running = startProcess(site);
+  await untilUp(site);
+
+  const look = async (id: string): Promise<void> => {
+    const known = accepted.get(id)!;
+    const answer = await show(site, id);
+    if (typeof answer === 'number') {
+      if (answer === 404) faults.push(`${id} was accepted and is forgotten`);
+      return;
+    }
+    if (known.done && answer.state !== 'done') faults.push(`${id} was done and is ${answer.state}`);
+    if (answer.state === 'done') known.done = true;
+    if (answer.state === 'cancelled') faults.push(`${id} is cancelled, and nobody did`);
+  };
+  const send = async (value: Record<string, unknown>): Promise<void> => {
+    const id = String(value[F.id]);
+    sent.set(id, value);
+    const status = await submit(site, value);
+    if (status === 200 || status === 201) accepted.set(id, { kind: String(value[F.kind]), done: false });
+    else if (status === 400 || status === 409 || status === 422)
+      faults.push(`${id} was refused with ${status}`);
+  };
+  const servicesRun = async (): Promise<boolean> => {
+    for (const [id, a] of accepted) {
+      if (a.kind !== 'daemon') continue;
+      const answer = await show(site, id);
+      if (typeof answer === 'number' || (answer.running ?? 0) < 1) return false;
+    }
+    return true;
+  };
+
+  await send(job(site, next++, 'daemon', 1, 100_000));
+  for (let n = 0; n < count; n++) {
+    const until = performance.now() + 300 + random.next() * 3500;
+    while (performance.now() < until) {
+      await send(
+        job(site, next++, 'array', 1 + Math.floor(random.next() * 4), Math.round(random.next() * 15) / 10),
+      );
+      await pause(random.next() * 500);
+    }
+    // In the middle of whatever is under way, a submission among it.
+    const last = send(job(site, next++, 'array', 2, 0.3));
+    if (random.next() < 0.7) await pause(random.next() * 30);
+    cut(site, running, random.next() < 0.7);
+    await last;
+    const log = readdirSync(join(site.data, 'state'))
+      .filter((f) => f.endsWith('.log'))
+      .sort()
+      .pop();
+    // What a write that was under way may leave behind.
+    if (log && random.next() < 0.3) appendFileSync(join(site.data, 'state', log), Buffer.alloc(40, 0x5a));
+    if (random.next() < 0.3) await pause(random.next() * 1500);
+    const from = performance.now();
+    running = startProcess(site);
+    serving.push(await untilUp(site));
+    // A submission whose answer the cut took is sent again, as its user would.
+    for (const [id, value] of [...sent].slice(-3)) if (!accepted.has(id)) await send(value);
+    for (const id of accepted.keys()) await look(id);
+    while (!(await servicesRun()) && performance.now() - from < 60_000) await pause(100);
+    if (performance.now() - from >= 60_000) faults.push('a service did not come back within a minute');
+    whole.push(performance.now() - from);
+    if (n % 10 === 9) tell(`${n + 1} cuts, ${accepted.size} jobs, ${faults.length} faults`);
+  }
+  for (let i = 0; i < 600 && [...accepted.values()].some((a) => a.kind === 'array' && !a.done); i++) {
+    for (const [id, a] of accepted) if (a.kind === 'array' && !a.done) await look(id);
+    await pause(200);
+  }
+  for (const [id, a] of accepted) if (a.kind === 'array' && !a.done) faults.push(`${id} never ended`);
+  for (const t of text(join(site.shared, 'beside')).split('\n').filter(Boolean))
+    faults.push(`${t} ran beside its earlier self`);
+  process.kill(running.pid!, 'SIGTERM');
+  await new Promise<void>((resolve) => {
+    if (running.exitCode !== null) resolve();
+    running.once('exit', () => resolve());
+    setTimeout(resolve, 10_000);
+  });
+  return {
+    cuts: count,
+    accepted: accepted.size,
+    starts: text(join(site.shared, 'starts')).split('\n').length - 1,
+    faults,
+    serving,
+    whole,
+  };
+}
