Console, keys and TLS, and a site of several machines

Change: src/console is a conversation by lines over /ops/overview, which says of every task whether a report confirms it; what can't be asked anew is shown with its age. src/keys puts a MAC over method, path, body, time and nonce of every request, and over every frame between controllers; readers, submitters by team, operators, parts. Users' side may speak TLS from files that are read anew. A site's file may name several machines: the first keeps state and provider, each has an agent and a controller.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,6 +10,9 @@
   state: ['transport', 'protocol'],
   agent: ['transport', 'protocol'],
   provider: ['transport', 'protocol'],
+  keys: ['transport', 'protocol'],
+  console: ['transport', 'protocol'],
+  appliance: layers,
 };
 const layerRules = layers.map((layer, i) => ({
   files: [`src/${layer}/**/*.ts`],
--- a/src/appliance/commands.ts
+++ b/src/appliance/commands.ts
@@ -1,15 +1,16 @@
 import { spawn } from 'node:child_process';
 import { existsSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { availableParallelism, totalmem } from 'node:os';
-import { dirname, resolve } from 'node:path';
+import { dirname, join, resolve } from 'node:path';
 import type { Command } from 'commander';
 import * as z from 'zod';
 import { identityOf, readDurable, writeDurably } from '../agent/index.js';
 import { verifyFolder } from '../state/index.js';
 import { netHttpClient } from '../transport/http-client.js';
 import { CONTENT_TYPE, Paths } from '../protocol/wire.js';
+import { newSecret, parseKeys, type Key } from '../keys/index.js';
 import { fileLog } from './log.js';
-import { parseSite, template, type Site } from './settings.js';
+import { parseSite, template, type Site, type SiteNode } from './settings.js';
 import { folders, startSite } from './site.js';
 
 export interface ApplianceHost {
@@ -34,14 +35,36 @@
   const appliance = program.command('appliance').description('a whole site on this machine');
   const at = ['--site <file>', 'its settings', FILE] as const;
 
-  const load = async (file: string): Promise<Site> => {
+  const load = async (file: string, node?: string): Promise<Site> => {
     const site = await parseSite(host.read(file));
     if (!site.ok)
       return host.fail(
         host.exit.settings,
         site.error.map((f) => `${file}: ${f}`),
       );
-    return { ...site.value, data: resolve(dirname(file), site.value.data) };
+    const beside = (path: string): string => resolve(dirname(file), path);
+    const { data, keys, tls } = site.value;
+    return {
+      ...site.value,
+      data: site.value.nodes.length > 1 ? join(beside(data), nodeOf(site.value, node).name) : beside(data),
+      keys: keys === undefined ? undefined : beside(keys),
+      tls: tls && { cert: beside(tls.cert), key: beside(tls.key) },
+    };
+  };
+  const nodeOf = (site: Site, name: string | undefined): SiteNode => {
+    const node = name === undefined ? site.nodes[0] : site.nodes.find((n) => n.name === name);
+    if (name === undefined && site.nodes.length > 1)
+      return host.fail(host.exit.settings, [`--node is needed: ${site.nodes.map((n) => n.name).join(', ')}`]);
+    return node ?? host.fail(host.exit.settings, [`no node is called '${name}'`]);
+  };
+  const keysOf = async (site: Site): Promise<readonly Key[]> => {
+    if (site.keys === undefined) return [];
+    const keys = await parseKeys(host.read(site.keys));
+    if (keys.ok) return keys.value;
+    return host.fail(
+      host.exit.settings,
+      keys.error.map((f) => `${site.keys}: ${f}`),
+    );
   };
   const lifeOf = (site: Site): Life | undefined => {
     const life = readDurable(folders(site.data).life, lifeSchema);
@@ -56,7 +79,8 @@
     .command('init')
     .description('write a settings file, with a remark on every setting')
     .option(...at)
-    .action((o: { site: string }) => {
+    .option('--node <name>', 'which of its machines this is, where it has several')
+    .action((o: { site: string; node?: string }) => {
       if (existsSync(o.site)) host.fail(host.exit.settings, [`${o.site} is there already`]);
       mkdirSync(dirname(o.site), { recursive: true });
       const memory = Math.max(0.5, Math.floor((totalmem() / 2 ** 30) * 0.8 * 10) / 10);
@@ -69,17 +93,26 @@
     .command('up')
     .description('start the site; it goes on in the background')
     .option(...at)
+    .option('--node <name>', 'which of its machines this is, where it has several')
     .option('--foreground', 'stay here, for whoever watches over processes')
-    .action(async (o: { site: string; foreground?: boolean }) => {
+    .action(async (o: { site: string; node?: string; foreground?: boolean }) => {
       if (!existsSync(o.site))
         host.fail(host.exit.settings, [`${o.site}: no such file; gorseyoke appliance init writes one`]);
-      const site = await load(o.site);
+      const site = await load(o.site, o.node);
       const life = lifeOf(site);
       if (life) host.fail(host.exit.serving, [`it is up already, as process ${life.pid}`]);
       if (o.foreground !== true) {
         const child = spawn(
           process.execPath,
-          [process.argv[1]!, 'appliance', 'up', '--foreground', '--site', o.site],
+          [
+            process.argv[1]!,
+            'appliance',
+            'up',
+            '--foreground',
+            '--site',
+            o.site,
+            ...(o.node === undefined ? [] : ['--node', o.node]),
+          ],
           {
             detached: true,
             stdio: ['ignore', 'ignore', 'pipe'],
@@ -88,22 +121,23 @@
         let said = '';
         child.stderr.on('data', (d: Buffer) => (said += d.toString()));
         const from = Date.now();
+        const { host: name, port } = nodeOf(site, o.node);
         while (Date.now() - from < READY_MS && child.exitCode === null) {
-          if (await up(`${site.host}:${site.port}`)) {
-            say(`up: ${site.host}:${site.port}, process ${child.pid}; logs in ${folders(site.data).logs}`);
+          if (await up(`${name}:${port}`)) {
+            say(`up: ${name}:${port}, process ${child.pid}; logs in ${folders(site.data).logs}`);
             process.exit(0);
           }
           await pause(100);
         }
         host.fail(host.exit.serving, [said.trim() || 'it did not come up; its log says why']);
       }
-      const log = fileLog(folders(site.data).logs, site.name);
+      const log = fileLog(folders(site.data).logs, nodeOf(site, o.node).name);
       process.on('uncaughtException', (e) => {
         log.error('uncaught', { why: e.stack ?? e.message });
         setTimeout(() => process.exit(host.exit.serving), 100);
       });
       try {
-        const running = await startSite(site, log);
+        const running = await startSite(site, nodeOf(site, o.node), log, await keysOf(site));
         writeDurably(
           folders(site.data).life,
           JSON.stringify({
@@ -126,12 +160,28 @@
       }
     });
 
+  appliance
+    .command('keys <file>')
+    .description('write a file of keys: one for the parts of the site, one for its operator')
+    .action((file: string) => {
+      if (existsSync(file)) host.fail(host.exit.settings, [`${file} is there already`]);
+      writeFileSync(
+        file,
+        `; name, secret, role: reader, submitter (with its teams), operator, node\n` +
+          `(key parts ${newSecret()} node)\n(key operator ${newSecret()} operator)\n`,
+        { mode: 0o600 },
+      );
+      say(`written: ${file}, to be read by its owner only`);
+      process.exit(0);
+    });
+
   appliance
     .command('down')
     .description('end the site: tasks first, the state last')
     .option(...at)
-    .action(async (o: { site: string }) => {
-      const site = await load(o.site);
+    .option('--node <name>', 'which of its machines this is, where it has several')
+    .action(async (o: { site: string; node?: string }) => {
+      const site = await load(o.site, o.node);
       const life = lifeOf(site);
       if (!life) {
         say('it is down');
@@ -150,8 +200,9 @@
     .command('status')
     .description('say whether the site is up, or what its state is like when it is down')
     .option(...at)
-    .action(async (o: { site: string }) => {
-      const site = await load(o.site);
+    .option('--node <name>', 'which of its machines this is, where it has several')
+    .action(async (o: { site: string; node?: string }) => {
+      const site = await load(o.site, o.node);
       const life = lifeOf(site);
       if (life) {
         const ready = await up(life.address);
@@ -173,8 +224,9 @@
     .command('log <task>')
     .description('print what the latest attempt of a task said: req-000001/0')
     .option(...at)
-    .action(async (task: string, o: { site: string }) => {
-      const site = await load(o.site);
+    .option('--node <name>', 'which of its machines this is, where it has several')
+    .action(async (task: string, o: { site: string; node?: string }) => {
+      const site = await load(o.site, o.node);
       const { latestOutput } = await import('./outputs.js');
       const found = latestOutput(folders(site.data).outputs, task);
       if (!found.ok) host.fail(host.exit.remote, [found.error]);
--- a/src/appliance/settings.ts
+++ b/src/appliance/settings.ts
@@ -2,14 +2,22 @@
 import { err, ok, type Result } from '../transport/result.js';
 import { MAX_TASKS } from '../protocol/jobs.js';
 
-/** One machine, and what stands on it by default: everything. */
-export interface Site {
+/** A machine of the site. The first keeps the state and the list of machines; each has an agent and a controller. */
+export interface SiteNode {
   readonly name: string;
-  readonly data: string;
   readonly host: string;
-  /** First of five ports: users, peers, state, machines, agent. */
+  /** First of six ports: users, peers, state, machines, agent, and reports where users speak TLS. */
   readonly port: number;
-  readonly machine: { readonly cpus: number; readonly cards: number; readonly memoryGb: number };
+  readonly cpus: number;
+  readonly cards: number;
+  readonly memoryGb: number;
+}
+
+/** One machine, or those that the owner names. */
+export interface Site {
+  readonly name: string;
+  readonly data: string;
+  readonly nodes: readonly SiteNode[];
   readonly niceness: number;
   readonly images: number;
   readonly output: { readonly mb: number; readonly files: number };
@@ -29,6 +37,9 @@
   };
   readonly pipelines: boolean;
   readonly elastic: boolean;
+  /** Files; undefined: none. Without keys the site listens on the machine itself only. */
+  readonly keys: string | undefined;
+  readonly tls: { readonly cert: string; readonly key: string } | undefined;
 }
 
 interface Node {
@@ -50,7 +61,7 @@
   site: { read: word, fallback: 'site' },
   data: { read: z.string().min(1), fallback: '' },
   host: { read: z.string().regex(/^[0-9A-Za-z.]+$/, 'must be a name or an address'), fallback: '127.0.0.1' },
-  port: { read: number(1, 65_531), fallback: 8080 },
+  port: { read: number(1, 65_530), fallback: 8080 },
   cpus: { read: number(0.1, 4096), fallback: 1 },
   cards: { read: number(0, 64), fallback: 0 },
   'memory-gb': { read: number(0.1, 65_536), fallback: 1 },
@@ -65,6 +76,9 @@
   'cancel-s': { read: number(2, 3600), fallback: 60 },
   pipelines: { read: yes, fallback: true },
   elastic: { read: yes, fallback: true },
+  keys: { read: z.string().min(1), fallback: '' },
+  'tls-cert': { read: z.string().min(1), fallback: '' },
+  'tls-key': { read: z.string().min(1), fallback: '' },
 } as const;
 
 const TEAM = ['cpus', 'cpus-max', 'cards', 'cards-max'] as const;
@@ -84,6 +98,7 @@
   const faults: string[] = [];
   const values: Record<string, unknown> = {};
   const teams: Site['teams'][number][] = [];
+  const named: { name: string; host: string; more: Record<string, number> }[] = [];
   for (const node of nodes) {
     const { line, column } = node.location.start;
     const fault = (what: string): void => void faults.push(`line ${line}, column ${column}: ${what}`);
@@ -94,6 +109,10 @@
       const team = readTeam(parts.slice(1), fault);
       if (team && teams.some((t) => t.name === team.name)) fault(`team '${team.name}' is there twice`);
       else if (team) teams.push(team);
+    } else if (name === 'node') {
+      const read = readNode(parts.slice(1), fault);
+      if (read && named.some((n) => n.name === read.name)) fault(`node '${read.name}' is there twice`);
+      else if (read) named.push(read);
     } else if (!Object.hasOwn(KNOBS, name)) fault(`unknown setting '${name}'`);
     else if (name in values) fault(`'${name}' is set twice`);
     else if (parts.length !== 2 || text(parts[1]!) === undefined) fault(`expected (${name} value)`);
@@ -109,13 +128,24 @@
   if (teams.length === 0) faults.push('(team name …) is missing: jobs belong to a team');
   if (get('cancel-s') <= get('lease-s') + 2) faults.push('cancel-s must be more than 2 s above lease-s');
   if (get('lease-s') < 3 * get('report-s')) faults.push('lease-s must be at least three times report-s');
+  const only = { name: get('site'), host: get('host'), more: {} as Record<string, number> };
+  const machines = (named.length > 0 ? named : [only]).map((n): SiteNode => ({
+    name: n.name,
+    host: n.host,
+    port: n.more['port'] ?? get('port'),
+    cpus: n.more['cpus'] ?? get('cpus'),
+    cards: n.more['cards'] ?? get('cards'),
+    memoryGb: n.more['memory-gb'] ?? get('memory-gb'),
+  }));
+  const loopback = machines.every((n) => /^(127\.[0-9.]+|localhost)$/.test(n.host));
+  if (!loopback && get('keys') === '')
+    faults.push('(keys "file") is missing: without keys host must be this machine itself, 127.0.0.1');
+  if ((get('tls-cert') === '') !== (get('tls-key') === '')) faults.push('tls-cert and tls-key go together');
   if (faults.length > 0) return err(faults);
   return ok({
     name: get('site'),
     data: get('data'),
-    host: get('host'),
-    port: get('port'),
-    machine: { cpus: get('cpus'), cards: get('cards'), memoryGb: get('memory-gb') },
+    nodes: machines,
     niceness: get('niceness'),
     images: get('images'),
     output: { mb: get('output-mb'), files: get('output-files') },
@@ -129,6 +159,8 @@
     },
     pipelines: get('pipelines'),
     elastic: get('elastic'),
+    keys: get('keys') || undefined,
+    tls: get('tls-cert') === '' ? undefined : { cert: get('tls-cert'), key: get('tls-key') },
   });
 }
 
@@ -157,6 +189,32 @@
   };
 }
 
+const NODE = ['port', 'cpus', 'memory-gb', 'cards'] as const;
+
+function readNode(
+  parts: readonly Node[],
+  fault: (what: string) => void,
+): { name: string; host: string; more: Record<string, number> } | undefined {
+  const name = word.safeParse(parts[0] && text(parts[0]));
+  const host = KNOBS.host.read.safeParse(parts[1] && text(parts[1]));
+  if (!name.success || !host.success) {
+    fault('a node needs a name and a host: (node north 10.0.0.1 (cpus 8))');
+    return undefined;
+  }
+  const more: Record<string, number> = {};
+  for (const p of parts.slice(2)) {
+    const pair = p.type === 'list' ? (p.content as readonly Node[]).map(text) : [];
+    const knob = NODE.find((k) => k === pair[0]);
+    const value = knob && KNOBS[knob].read.safeParse(pair[1]);
+    if (!knob || !value?.success || pair.length !== 2) {
+      fault(`node '${name.data}': expected (${NODE.join(' n), (')} n)`);
+      return undefined;
+    }
+    more[knob] = value.data;
+  }
+  return { name: name.data, host: host.data, more };
+}
+
 /** What `init` writes: every setting, with what it means. */
 export const template = (
   data: string,
@@ -167,12 +225,14 @@
 (site home)                     ; its name, in logs
 (data "${data}")                ; everything is kept below this folder: the state, outputs, images, logs
 (host 127.0.0.1)                ; where it listens; without keys this must be the machine itself
-(port 8080)                     ; users; the four ports after it are its own parts
+(port 8080)                     ; users; the five ports after it are its own parts
 
 (cpus ${cpus})                         ; what of this machine jobs may use
 (memory-gb ${memoryGb})
 (cards 0)                       ; accelerators, numbered from 0 in GORSEYOKE_CARDS
 
+; (node north 10.0.0.1)         ; for more machines than one: a line each, the same file on all, and keys
+
 (team main)                     ; jobs belong to a team; limits are (cpus-max 8) and (cards-max 2), guarantees (cpus 4) and (cards 1)
 
 ; (niceness 5)                  ; how far tasks stand back behind other programs, 0 to 19
@@ -184,4 +244,7 @@
 ; (cancel-s 60)                 ; a cancelled job is gone after so long at the latest
 ; (pipelines yes)
 ; (elastic yes)
+; (keys "keys.sexp")           ; who may do what; gorseyoke appliance keys writes one
+; (tls-cert "cert.pem")        ; users' side speaks TLS; read anew when the files change
+; (tls-key "key.pem")
 `;
--- a/src/appliance/site.ts
+++ b/src/appliance/site.ts
@@ -8,23 +8,25 @@
 import { openStorage, StateService } from '../state/index.js';
 import { systemClock } from '../transport/clock.js';
 import { netHttpClient } from '../transport/http-client.js';
-import { serveHttp } from '../transport/http-server.js';
+import { serveHttp, type ServerOptions } from '../transport/http-server.js';
+import { frameGuard, partsGuard, signer, usersGuard, type Key } from '../keys/index.js';
+import { tlsFrom } from './tls.js';
 import type { Route } from '../transport/http.js';
 import type { Log } from '../transport/log.js';
 import { netMesh } from '../transport/mesh.js';
 import { Metrics } from '../transport/metrics.js';
 import { seededRandom } from '../transport/random.js';
 import type { MachineType } from '../protocol/cloud.js';
-import type { Address, MemberName, TeamName, TypeName, ZoneName } from '../protocol/ids.js';
+import type { Address, JobId, MemberName, TeamName, TypeName, ZoneName } from '../protocol/ids.js';
 import { encodeError } from '../protocol/jobs.js';
 import { defaultOperator } from '../protocol/operator.js';
 import type { Settings } from '../protocol/settings.js';
 import { CONTENT_TYPE } from '../protocol/wire.js';
 import { DescriptionStore } from './descriptions.js';
-import type { Site } from './settings.js';
+import type { Site, SiteNode } from './settings.js';
 
 const ZONE = 'here' as ZoneName;
-const MEMBER = 'site' as MemberName;
+const memberOf = (node: SiteNode): MemberName => node.name as MemberName;
 /** Far above what one machine needs, and below what would let a fault of a client fill the disk. */
 const STATE_LIMITS = { rps: 2000, writeRps: 1000, txnOps: 12, valueKb: 16 } as const;
 
@@ -34,7 +36,7 @@
   down(): Promise<void>;
 }
 
-const portOf = (site: Site, n: number): Address => `${site.host}:${site.port + n}` as Address;
+const portOf = (node: SiteNode, n: number): Address => `${node.host}:${node.port + n}` as Address;
 
 /** Folders of a site, below its data. */
 export const folders = (data: string) => ({
@@ -50,15 +52,16 @@
   life: join(data, 'life.json'),
 });
 
-function settingsOf(site: Site): Settings {
+function settingsOf(site: Site, node: SiteNode): Settings {
+  const keeper = site.nodes[0]!;
   return {
-    member: MEMBER,
+    member: memberOf(node),
     zone: ZONE,
-    listen: portOf(site, 0),
-    meshListen: portOf(site, 1),
-    peers: [],
-    cloud: portOf(site, 3),
-    state: portOf(site, 2),
+    listen: portOf(node, 0),
+    meshListen: portOf(node, 1),
+    peers: site.nodes.filter((n) => n !== node).map((n) => ({ member: memberOf(n), address: portOf(n, 1) })),
+    cloud: portOf(keeper, 3),
+    state: portOf(keeper, 2),
     zones: [ZONE],
     teams: site.teams.map((t) => ({
       name: t.name as TeamName,
@@ -75,11 +78,13 @@
   };
 }
 
-const typeOf = (site: Site): MachineType => ({
-  name: 'own' as TypeName,
-  cpus: site.machine.cpus,
-  gpus: site.machine.cards,
-  memoryGb: site.machine.memoryGb,
+/** Machines of one size are of one type. */
+const typeName = (n: SiteNode): TypeName => `own-${n.cpus}-${n.memoryGb}-${n.cards}` as TypeName;
+const typeOf = (n: SiteNode): MachineType => ({
+  name: typeName(n),
+  cpus: n.cpus,
+  gpus: n.cards,
+  memoryGb: n.memoryGb,
   cacheGb: 1000,
   fetchGbPerS: 1,
   // The owner has paid for it; a price above nothing keeps ratios of prices sensible.
@@ -89,48 +94,65 @@
   zones: [ZONE],
 });
 
-/** All of a small site in one process: state, provider, agent, one controller. */
-export async function startSite(site: Site, log: Log): Promise<RunningSite> {
+/** All that one machine of a site runs, in one process: agent and controller, and on the first the state and the provider. */
+export async function startSite(
+  site: Site,
+  node: SiteNode,
+  log: Log,
+  keys: readonly Key[] = [],
+): Promise<RunningSite> {
+  const keeper = site.nodes[0]!;
+  const keeps = node === keeper;
   const place = folders(site.data);
   for (const f of [place.outputs, place.work, place.saved, place.images]) mkdirSync(f, { recursive: true });
   const clock = systemClock;
   const metrics = new Metrics();
-  const http = netHttpClient(64, CONTENT_TYPE);
+  const own = keys.find((k) => k.role.kind === 'node');
+  const http = netHttpClient(64, CONTENT_TYPE, undefined, own ? { sign: signer(own, clock) } : {});
   const incarnation = randomInt(1, 2 ** 47);
   const random = seededRandom(incarnation);
   const servers: { close(): void }[] = [];
-  const serve = async (address: Address, routes: readonly Route[]): Promise<void> => {
+  const parts = own ? partsGuard({ clock, log, keys }) : undefined;
+  const serve = async (
+    address: Address,
+    routes: readonly Route[],
+    further: Partial<ServerOptions> = {},
+  ): Promise<void> => {
     servers.push(
       await serveHttp(address, routes, {
+        ...(parts ? { guard: parts } : {}),
         maxBody: 64 * 1024,
         contentType: CONTENT_TYPE,
         errorBody: encodeError,
         maxConnections: 500,
+        ...further,
       }),
     );
   };
   // Before anything else: what an earlier life left running is ended before this one says anything of its machine.
   const processes = new Processes(place.processes, log);
   await processes.endOrphans();
-  const state = await StateService.open({
-    clock,
-    log,
-    metrics,
-    limits: STATE_LIMITS,
-    open: () => openStorage(place.state),
-  });
-  await serve(portOf(site, 2), state.routes);
-  const descriptions = new DescriptionStore(http, portOf(site, 2), STATE_LIMITS.valueKb);
+  const state = keeps
+    ? await StateService.open({
+        clock,
+        log,
+        metrics,
+        limits: STATE_LIMITS,
+        open: () => openStorage(place.state),
+      })
+    : undefined;
+  if (state) await serve(portOf(node, 2), state.routes);
+  const descriptions = new DescriptionStore(http, portOf(keeper, 2), STATE_LIMITS.valueKb);
   const changed = { tell: (): void => undefined };
   const tasks = new Tasks({
     clock,
     log,
     http,
-    state: portOf(site, 2),
+    state: portOf(keeper, 2),
     gangWaitS: site.timing.gangWaitS,
     gangPeerS: site.timing.gangPeerS,
-    room: { cpus: site.machine.cpus, gpus: site.machine.cards, memoryGb: site.machine.memoryGb },
-    host: site.host,
+    room: { cpus: node.cpus, gpus: node.cards, memoryGb: node.memoryGb },
+    host: node.host,
     describe: (id) => descriptions.get(id),
     processes,
     images: new Images(place.images, site.images),
@@ -147,26 +169,33 @@
     log,
     http,
     tasks,
-    controllers: [{ member: MEMBER, address: portOf(site, 0) }],
-    address: portOf(site, 4),
-    type: 'own' as TypeName,
+    controllers: site.nodes.map((n) => ({ member: memberOf(n), address: portOf(n, site.tls ? 5 : 0) })),
+    address: portOf(node, 4),
+    type: typeName(node),
     zone: ZONE,
     reportS: site.timing.reportS,
     leaseS: site.timing.leaseS,
     memory: place.agent,
   });
   changed.tell = () => agent.noteChange();
-  await serve(portOf(site, 4), agent.routes);
-  const provider = new Provider({
-    clock,
-    log,
-    http,
-    machines: [{ name: site.name, address: portOf(site, 4), type: typeOf(site), zone: ZONE }],
-    leaseS: site.timing.leaseS,
-    memory: place.provider,
-  });
-  await serve(portOf(site, 3), provider.routes);
-  const settings = settingsOf(site);
+  await serve(portOf(node, 4), agent.routes);
+  const provider = keeps
+    ? new Provider({
+        clock,
+        log,
+        http,
+        machines: site.nodes.map((n) => ({
+          name: n.name,
+          address: portOf(n, 4),
+          type: typeOf(n),
+          zone: ZONE,
+        })),
+        leaseS: site.timing.leaseS,
+        memory: place.provider,
+      })
+    : undefined;
+  if (provider) await serve(portOf(node, 3), provider.routes);
+  const settings = settingsOf(site, node);
   const controller = new Controller({
     settings,
     operator: { ...defaultOperator(), pipelines: site.pipelines ? 1 : 0, elastic: site.elastic ? 1 : 0 },
@@ -175,20 +204,34 @@
     log,
     metrics,
     http,
-    mesh: netMesh(settings.meshListen, new Map(), clock),
+    mesh: netMesh(
+      settings.meshListen,
+      new Map(settings.peers.map((p) => [p.member as string, p.address as string])),
+      clock,
+      own && frameGuard(own, clock),
+    ),
     incarnation,
     pipelines: site.pipelines ? createPipelines : undefined,
   });
   controller.start();
-  await serve(portOf(site, 0), [...controller.routes, ...descriptions.routes]);
-  log.info('serving', { address: settings.listen, site: site.name });
+  // The site's own agent speaks to the users' side as well, past TLS: it reports on a port of its own.
+  const users = [...controller.routes, ...descriptions.routes];
+  const guard = own && usersGuard({ clock, log, keys, teamOf: (id) => controller.teamOf(id as JobId) });
+  const secure = site.tls && tlsFrom(site.tls, log);
+  await serve(portOf(node, 0), users, {
+    ...(guard ? { guard } : {}),
+    ...(secure ? { secure: secure.server } : {}),
+  });
+  if (secure) await serve(portOf(node, 5), users);
+  log.info('serving', { address: settings.listen, site: site.name, node: node.name });
   return {
     address: settings.listen,
     async down() {
       log.info('going-down');
-      provider.stop();
+      provider?.stop();
       await agent.stop();
-      await state.close();
+      await state?.close();
+      secure?.stop();
       for (const s of servers) s.close();
       log.info('down');
     },
--- /dev/null
+++ b/src/appliance/tls.ts
@@ -0,0 +1,47 @@
+import { readFileSync, watch, type FSWatcher } from 'node:fs';
+import { createServer, type Server, type ServerOptions as TlsOptions } from 'node:https';
+import type { ServerOptions } from '../transport/http-server.js';
+import type { Log } from '../transport/log.js';
+
+/** TLS from the operator's files, which may change while it runs; a pair that can't be used is said, and the old one stays. */
+export function tlsFrom(
+  files: { readonly cert: string; readonly key: string },
+  log: Log,
+): { readonly server: NonNullable<ServerOptions['secure']>; stop(): void } {
+  const read = (): { cert: Buffer; key: Buffer } => ({
+    cert: readFileSync(files.cert),
+    key: readFileSync(files.key),
+  });
+  const servers: Server[] = [];
+  let timer: NodeJS.Timeout | undefined;
+  const reload = (): void => {
+    try {
+      const pair = read();
+      for (const s of servers) s.setSecureContext(pair);
+      log.info('certificate-read');
+    } catch (e) {
+      log.error('certificate-not-usable', { why: (e as Error).message });
+    }
+  };
+  const watchers: FSWatcher[] = [files.cert, files.key].map((f) =>
+    // Both change one after the other; they are read when both are still.
+    watch(f, () => {
+      clearTimeout(timer);
+      timer = setTimeout(reload, 300);
+    }),
+  );
+  return {
+    server: {
+      options: read(),
+      createServer: (options: TlsOptions, listener?: unknown) => {
+        const server = createServer(options, listener as never);
+        servers.push(server);
+        return server;
+      },
+    },
+    stop() {
+      clearTimeout(timer);
+      for (const w of watchers) w.close();
+    },
+  };
+}
--- a/src/commands.ts
+++ b/src/commands.ts
@@ -1,4 +1,5 @@
 import { Command, CommanderError } from 'commander';
+import { speakFor } from './transport/http-client.js';
 import type { Result } from './transport/result.js';
 import { cancelJob, explainRemote, showJob, submitJob } from './coordination/users/client.js';
 import { OPS } from './coordination/controller.js';
@@ -12,9 +13,28 @@
   process.exit(0);
 }
 
+/** `GORSEYOKE_KEY=name:secret` signs what is asked of a site with keys; `GORSEYOKE_CA=file` trusts its certificate. */
+async function speakForUser(): Promise<void> {
+  const { GORSEYOKE_KEY: named, GORSEYOKE_CA: ca } = process.env;
+  if (named === undefined && ca === undefined) return;
+  const [name, secret, ...more] = (named ?? '').split(':');
+  if (named !== undefined && (!name || !/^([0-9a-f]{2}){32,}$/.test(secret ?? '') || more.length > 0))
+    fail(EXIT.usage, ['GORSEYOKE_KEY must be name:secret, as in the file of keys']);
+  const { signer } = await import('./keys/index.js');
+  const { Agent } = await import('node:https');
+  const { systemClock } = await import('./transport/clock.js');
+  speakFor({
+    ...(name && secret
+      ? { sign: signer({ name, secret: Buffer.from(secret, 'hex'), role: { kind: 'reader' } }, systemClock) }
+      : {}),
+    ...(ca === undefined ? {} : { agentOf: (options) => new Agent({ ...options, ca: read(ca) }) }),
+  });
+}
+
 type Serve = (config: string, operator: string | undefined) => Promise<void>;
 
 export async function run(serve: Serve): Promise<void> {
+  await speakForUser();
   const program = new Command('gorseyoke')
     .description('cluster scheduler')
     .version(VERSION)
@@ -74,6 +94,16 @@
     applianceCommands(program, { read, fail, exit: EXIT });
   }
 
+  if (['console', 'help', '--help', '-h'].includes(process.argv[2] ?? '')) {
+    const { consoleCommand } = await import('./console/index.js');
+    consoleCommand(program, {
+      submit: submitJob,
+      cancel: cancelJob,
+      explain: explainRemote,
+      path: OPS.overview,
+    });
+  }
+
   try {
     await program.parseAsync();
   } catch (e) {
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -16,7 +16,7 @@
 import { Cloud } from '../bookkeeping/cloud.js';
 import { Mirror } from '../bookkeeping/mirror.js';
 import { Store } from '../bookkeeping/store.js';
-import { explainJob } from './explain/explain.js';
+import { explainJob, overview, type ExplainContext } from './explain/explain.js';
 import { Holder } from './holder.js';
 import { Peers } from './term/peers.js';
 import type { Pipelines, PipelinesDeps } from './pipelines/index.js';
@@ -43,7 +43,12 @@
 /** Share of the write rate that rounds have for themselves. */
 const ROUND_PLEDGE = 0.12;
 /** The operators' own paths; users' paths are the protocol's. */
-export const OPS = { explain: '/ops/explain/:id', metrics: '/ops/metrics', names: '/ops/names' } as const;
+export const OPS = {
+  explain: '/ops/explain/:id',
+  metrics: '/ops/metrics',
+  names: '/ops/names',
+  overview: '/ops/overview',
+} as const;
 
 const json = (status: number, value: unknown): Reply => ({
   status,
@@ -228,6 +233,11 @@
     }
   }
 
+  /** The team of a job that isn't over. */
+  teamOf(id: JobId): TeamName | undefined {
+    return this.mirror.get(id)?.row.spec.team;
+  }
+
   private storeOk(): boolean {
     const { store } = this;
     const silentMs = this.attention.since(store.lastContact);
@@ -263,6 +273,7 @@
       { method: 'GET', path: Paths.health, handle: () => this.health() },
       { method: 'POST', path: Paths.report, handle: (_, body) => this.report(body) },
       { method: 'GET', path: OPS.names, handle: () => this.names() },
+      { method: 'GET', path: OPS.overview, handle: () => this.overview() },
       ...(this.pipelines?.routes ?? []),
     ];
   }
@@ -278,6 +289,33 @@
     });
   }
 
+  private explainContext(holder: Holder, world: ExplainContext['world']): ExplainContext {
+    return {
+      clock: this.d.clock,
+      world,
+      unplaced: holder.unplaced,
+      types: this.types.all(),
+      teams: this.teams,
+      storeOk: this.storeOk(),
+      refusedUntil: holder.fleet?.refusedUntil ?? new Map(),
+    };
+  }
+
+  /** The holder's picture, for a console; others say who has it. */
+  private overview(): Reply {
+    const { holder } = this;
+    if (!holder?.world) {
+      const known = this.term.known;
+      return json(200, { holder: known.holder ?? null, address: known.address ?? null });
+    }
+    // A quarter late is in time, and so is one that got lost.
+    const dueMs = this.d.settings.workers.reportS * 2500;
+    return json(200, {
+      member: this.d.settings.member,
+      ...overview(this.explainContext(holder, holder.world), dueMs),
+    });
+  }
+
   private async explain(id: string): Promise<Reply> {
     if (!JOB_ID.test(id)) return json(404, { job: id, lines: ['No job has such an id.'] });
     const { holder } = this;
@@ -285,18 +323,7 @@
       const known = this.term.known;
       return json(200, { job: id, holder: known.holder ?? null, address: known.address ?? null, lines: [] });
     }
-    const lines = explainJob(
-      {
-        clock: this.d.clock,
-        world: holder.world,
-        unplaced: holder.unplaced,
-        types: this.types.all(),
-        teams: this.teams,
-        storeOk: this.storeOk(),
-        refusedUntil: holder.fleet?.refusedUntil ?? new Map(),
-      },
-      id as JobId,
-    );
+    const lines = explainJob(this.explainContext(holder, holder.world), id as JobId);
     const step = this.pipelines?.explain(id as JobId) ?? [];
     const width = holder.elastic?.explain(id as JobId) ?? [];
     if (lines || step.length > 0) return json(200, { job: id, lines: [...step, ...(lines ?? []), ...width] });
--- a/src/coordination/explain/explain.ts
+++ b/src/coordination/explain/explain.ts
@@ -94,4 +94,64 @@
   }
 }
 
+/** Most of each in one picture: it goes over slow lines. */
+const MOST_SHOWN = 200;
+const MOST_ENDS = 20;
+
+/**
+ * What the holder knows, and how: a task is `confirmed` when a report showed it within the time in which one is due, else it is
+ * `assumed` since the last report, or since it was committed. Ages are in seconds.
+ */
+export function overview(ctx: ExplainContext, dueMs: number): Record<string, unknown> {
+  const { world } = ctx;
+  const now = ctx.clock.now();
+  const age = (then: SteadyMs): number => Math.max(0, Math.round((now - then) / 1000));
+  const why = new Map<Job, string>();
+  for (const u of ctx.unplaced) why.set(u.job, u.reason);
+  const jobs = [...world.jobs.values()].map((job) => {
+    let running = 0;
+    let other = 0;
+    let assumed = 0;
+    for (const p of job.placements.values()) {
+      if (p.ended) continue;
+      if (p.state === 'running') running++;
+      else other++;
+      const heard = p.machine.lastReport;
+      if (p.state === undefined || heard === undefined || now - heard > dueMs) assumed++;
+    }
+    return {
+      id: job.id,
+      team: job.spec.team,
+      kind: job.spec.kind,
+      tasks: job.spec.tasks,
+      done: job.done.count,
+      running,
+      other,
+      assumed,
+      age: age(job.acceptedAt),
+      why: job.cancelledAt !== undefined ? 'cancelled' : (why.get(job) ?? null),
+    };
+  });
+  const machines = [...world.machines.values()].map((m) => ({
+    id: m.id,
+    type: m.type,
+    zone: m.zone,
+    state: m.state,
+    heard: m.lastReport === undefined ? null : age(m.lastReport),
+    confirmed: m.lastReport !== undefined && now - m.lastReport <= dueMs,
+    leaving: m.noticeAt !== undefined,
+    tasks: [...m.placements]
+      .filter((p) => !p.ended)
+      .slice(0, 50)
+      .map((p) => ({ task: `${p.job.id}/${p.index}`, state: p.state ?? 'sent', since: age(p.since) })),
+  }));
+  return {
+    storeOk: ctx.storeOk,
+    counts: { jobs: jobs.length, machines: machines.length },
+    jobs: jobs.slice(0, MOST_SHOWN),
+    machines: machines.slice(0, MOST_SHOWN),
+    ends: [...world.ended].slice(-MOST_ENDS).reverse(),
+  };
+}
+
 const seconds = (ms: number): string => `${Math.max(0, Math.round(ms / 1000))} s`;
--- a/src/coordination/views.ts
+++ b/src/coordination/views.ts
@@ -78,4 +78,4 @@
 >;
 
 /** Reads only. */
-export type ExplainedWorld = Pick<World, 'jobs' | 'machines' | 'use' | 'estranged'>;
+export type ExplainedWorld = Pick<World, 'jobs' | 'machines' | 'use' | 'estranged' | 'ended'>;
--- /dev/null
+++ b/src/keys/file.ts
@@ -0,0 +1,61 @@
+import { hexToBytes } from '@noble/hashes/utils.js';
+import { randomBytes } from 'node:crypto';
+import { err, ok, type Result } from '../transport/result.js';
+import type { Key, Role } from './mac.js';
+
+interface Node {
+  readonly type: 'list' | 'atom' | 'string';
+  readonly content: string | readonly Node[];
+  readonly location: { readonly start: { readonly line: number; readonly column: number } };
+}
+
+const NAME = /^[a-z][a-z0-9-]{0,40}$/;
+const SECRET = /^[0-9a-f]{64,128}$/;
+
+const words = (n: Node): string[] =>
+  n.type === 'list'
+    ? (n.content as readonly Node[]).map((c) => (c.type === 'list' ? '(' : (c.content as string)))
+    : [];
+
+function roleOf(kind: string, teams: readonly string[]): Role | string {
+  if (kind === 'submitter')
+    return teams.length > 0 ? { kind, teams } : 'a submitter needs the teams that it submits for';
+  if (teams.length > 0) return `a ${kind} takes no teams`;
+  if (kind === 'reader' || kind === 'operator' || kind === 'node') return { kind };
+  return `unknown role '${kind}': reader, submitter, operator or node`;
+}
+
+/**
+ * `(key NAME SECRET ROLE TEAM…)` a line. The secret is 64 digits of base sixteen or more; a fault never shows one.
+ */
+export async function parseKeys(source: string): Promise<Result<readonly Key[], readonly string[]>> {
+  // @ts-expect-error the package brings no types
+  const loaded = (await import('sexpr-plus')) as { default: { parse(text: string): readonly Node[] } };
+  let nodes: readonly Node[];
+  try {
+    nodes = loaded.default.parse(source);
+  } catch {
+    return err(['not S-expressions']);
+  }
+  const keys: Key[] = [];
+  const faults: string[] = [];
+  for (const node of nodes) {
+    const [head, name = '', secret = '', kind = '', ...teams] = words(node);
+    const fault = (what: string): void => void faults.push(`line ${node.location.start.line}: ${what}`);
+    if (head !== 'key') fault('expected (key name secret role)');
+    else if (!NAME.test(name)) fault('a name is a word of small letters, digits and dashes');
+    else if (keys.some((k) => k.name === name)) fault(`key '${name}' is there twice`);
+    else if (!SECRET.test(secret) || secret.length % 2 !== 0)
+      fault(`key '${name}': the secret must be 64 digits of 0-9 and a-f`);
+    else {
+      const role = roleOf(kind, teams);
+      if (typeof role === 'string') fault(`key '${name}': ${role}`);
+      else keys.push({ name, secret: hexToBytes(secret), role });
+    }
+  }
+  if (faults.length === 0 && !keys.some((k) => k.role.kind === 'node'))
+    faults.push('a key with the role node is missing: the parts of the site need one');
+  return faults.length > 0 ? err(faults) : ok(keys);
+}
+
+export const newSecret = (): string => randomBytes(32).toString('hex');
--- /dev/null
+++ b/src/keys/index.ts
@@ -0,0 +1,5 @@
+/** Who may do what: a secret each, a code over every request, roles. */
+export { frameGuard } from './frames.js';
+export { newSecret, parseKeys } from './file.js';
+export { HEADER, signer, Verifier, WINDOW_MS, type Key, type Role } from './mac.js';
+export { mayDo, partsGuard, usersGuard } from './rights.js';
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -7,6 +7,17 @@
 
 type AgentMaker = (options: AgentOptions) => Agent;
 
+interface Further {
+  /** How requests are signed. */
+  readonly sign?: Signer | undefined;
+  /** What stands in for plain connections. */
+  readonly agentOf?: AgentMaker | undefined;
+}
+
+/** For a process that speaks for one person: the command line, before it makes any call. */
+let onBehalf: Further = {};
+export const speakFor = (further: Further): void => void (onBehalf = further);
+
 /**
  * Keep-alive connections with a deadline on every call. A call that misses its deadline loses its
  * connection too: a held connection would otherwise swallow the calls behind it.
@@ -15,8 +26,7 @@
   maxSockets: number,
   contentType: string,
   idleMs = IDLE_MS,
-  /** How requests are signed, and what stands in for plain connections. */
-  further: { readonly sign?: Signer | undefined; readonly agentOf?: AgentMaker | undefined } = {},
+  own: Further = {},
 ): HttpClient {
   // A connection to each of a thousand workers, and to those long gone, would use up this node's sockets: one that
   // nobody has used for a while is closed.
@@ -27,7 +37,8 @@
     scheduling: 'fifo',
     timeout: idleMs,
   } as const;
-  const agent = further.agentOf?.(options) ?? new Agent(options);
+  let agent: Agent | undefined;
+  let further = own;
   const attempt = (
     address: string,
     method: string,
@@ -36,6 +47,11 @@
     deadlineMs: number,
   ): Promise<Result<Reply, CallFailure> & { reused?: boolean }> =>
     new Promise((resolve) => {
+      // Not before the first call: the command line says whom it speaks for when its clients are made already.
+      if (!agent) {
+        further = { ...onBehalf, ...own };
+        agent = further.agentOf?.(options) ?? new Agent(options);
+      }
       const colon = address.lastIndexOf(':');
       let connected = false;
       let settled = false;
--- a/src/transport/mesh.ts
+++ b/src/transport/mesh.ts
@@ -62,11 +62,22 @@
 
 const MAX_FRAME = 1 << 20;
 
-const encodeFrame = (frame: Frame): Uint8Array =>
-  FrameType.encodeDelimited(FrameType.fromObject(frame as unknown as Record<string, unknown>)).finish();
+/** Signs what goes to peers, and looks at what comes from them; undefined: it is nobody's who may speak here. */
+export interface FrameGuard {
+  seal(bytes: Uint8Array): Uint8Array;
+  open(bytes: Uint8Array): Uint8Array | undefined;
+}
+
+function encodeFrame(frame: Frame, guard: FrameGuard | undefined): Uint8Array {
+  const message = FrameType.fromObject(frame as unknown as Record<string, unknown>);
+  if (!guard) return FrameType.encodeDelimited(message).finish();
+  return protobuf.Writer.create()
+    .bytes(guard.seal(FrameType.encode(message).finish()))
+    .finish();
+}
 
 /** Splits a byte stream into frames; returns what is left over. */
-function splitFrames(buffer: Buffer, deliver: (frame: Frame) => void): Buffer {
+function splitFrames(buffer: Buffer, guard: FrameGuard | undefined, deliver: (frame: Frame) => void): Buffer {
   let rest = buffer;
   for (;;) {
     let length = 0;
@@ -82,7 +93,10 @@
     }
     if (length > MAX_FRAME) throw new Error('frame too long');
     if (rest.length < at + length) return rest;
-    const message = FrameType.decode(rest.subarray(at, at + length));
+    const bytes = rest.subarray(at, at + length);
+    const opened = guard ? guard.open(bytes) : bytes;
+    if (!opened) throw new Error('not from a peer');
+    const message = FrameType.decode(opened);
     deliver(FrameType.toObject(message, { defaults: true, longs: Number, arrays: true }) as unknown as Frame);
     rest = rest.subarray(at + length);
   }
@@ -92,6 +106,7 @@
   bind: string,
   peers: ReadonlyMap<string, string>,
   clock: Clock,
+  guard?: FrameGuard | undefined,
 ): Mesh & { close(): void } {
   const frameListeners: ((frame: Frame) => void)[] = [];
   const refusedListeners: ((peer: string) => void)[] = [];
@@ -104,7 +119,7 @@
     let rest: Buffer = Buffer.alloc(0);
     socket.on('data', (chunk: Buffer) => {
       try {
-        rest = splitFrames(rest.length === 0 ? chunk : Buffer.concat([rest, chunk]), (frame) => {
+        rest = splitFrames(rest.length === 0 ? chunk : Buffer.concat([rest, chunk]), guard, (frame) => {
           for (const listen of frameListeners) listen(frame);
         });
       } catch {
@@ -146,7 +161,7 @@
         links.set(peer, link);
       }
       if (link.socket.writableLength === 0) link.idleSince = clock.now();
-      link.socket.write(encodeFrame(frame));
+      link.socket.write(encodeFrame(frame, guard));
     },
     onFrame: (listen) => void frameListeners.push(listen),
     onRefused: (listen) => void refusedListeners.push(listen),
--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -12,8 +12,7 @@
 import type { Attempt, JobId, TaskIndex } from '../src/protocol/ids.js';
 import type { Command } from '../src/protocol/workers.js';
 import { Outputs } from '../src/agent/index.js';
-import { latestOutput } from '../src/appliance/outputs.js';
-import { parseSite, template } from '../src/appliance/index.js';
+import { latestOutput, parseSite, template } from '../src/appliance/index.js';
 import { ok } from '../src/transport/result.js';
 import { systemClock } from '../src/transport/clock.js';
 import { netHttpClient } from '../src/transport/http-client.js';
@@ -334,7 +333,7 @@
 test("a site's settings: every fault with its place, and the template is good", async () => {
   const good = await parseSite(template('data', 4, 8));
   assert.ok(good.ok);
-  assert.equal(good.value.machine.cpus, 4);
+  assert.equal(good.value.nodes[0]!.cpus, 4);
   const bad = await parseSite(
     '(port 99999)\n(colour red) (port 1) (team a) (team a)\n(lease-s 3) (report-s 2) (cancel-s 4)',
   );
--- a/test/appliance.test.ts
+++ b/test/appliance.test.ts
@@ -1,12 +1,15 @@
 import assert from 'node:assert/strict';
 import { spawnSync } from 'node:child_process';
-import { existsSync, readFileSync, writeFileSync } from 'node:fs';
+import { existsSync, readdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
 import fc from 'fast-check';
 import { DescriptionPaths } from '../src/protocol/descriptions.js';
-import { encode } from '../src/protocol/codec.js';
+import { signer, type Key } from '../src/keys/index.js';
+import { decodeAs, encode } from '../src/protocol/codec.js';
+import { jobAnswer } from '../src/protocol/jobs.js';
+import { systemClock } from '../src/transport/clock.js';
 import { CONTENT_TYPE, F, Paths } from '../src/protocol/wire.js';
 import { netHttpClient } from '../src/transport/http-client.js';
 import { seededRandom } from '../src/transport/random.js';
@@ -216,3 +219,61 @@
   const status = run('appliance', 'status', '--site', s.file);
   assert.match(status.stderr, /harmed/);
 });
+
+test('three machines: one that dies is missed and replaced, the keeper comes back to a true picture', async () => {
+  const nodes = ['north', 'mid', 'south']
+    .map((n, i) => `(node ${n} 127.0.0.1 (port ${18860 + 10 * i}) (cpus 4))`)
+    .join(' ');
+  const s = makeSite(18860, `${nodes} (keys "keys.sexp")`);
+  const file = join(dirname(s.file), 'keys.sexp');
+  assert.equal(run('appliance', 'keys', file).status, 0);
+  const secret = /key operator ([0-9a-f]+) operator/.exec(readFileSync(file, 'utf8'))![1]!;
+  const operator: Key = { name: 'operator', secret: Buffer.from(secret, 'hex'), role: { kind: 'operator' } };
+  const signed = netHttpClient(8, CONTENT_TYPE, undefined, { sign: signer(operator, systemClock) });
+  const up = (node: string) => startProcess(s, '--node', node);
+  const processes = new Map(['north', 'mid', 'south'].map((n) => [n, up(n)]));
+  await untilUp(s);
+  const ask = async (method: string, path: string, body?: Uint8Array, port = 18860) => {
+    const r = await signed.call(`127.0.0.1:${port}`, method, path, body, 3000);
+    return r.ok ? r.value : { status: 0 };
+  };
+  const value = encode(job(s, 1, 'daemon', 6, 1000));
+  assert.equal((await ask('POST', DescriptionPaths.all, value)).status, 201);
+  assert.equal((await ask('POST', Paths.jobs, value)).status, 201);
+  // By what runs, not by what is said: each group is written down where it runs.
+  const on = (node: string): string[] => {
+    const folder = join(s.data, node, 'processes');
+    const names = existsSync(folder) ? readdirSync(folder).filter((f) => f.endsWith('.json')) : [];
+    return names.map((f) => f.split('-').slice(0, 3).join('-'));
+  };
+  const all = (): string[] => ['north', 'mid', 'south'].flatMap(on);
+  await until('six run', async () => Promise.resolve(all().length === 6), 30_000);
+  const victim = on('mid').length >= on('south').length ? 'mid' : 'south';
+  const other = victim === 'mid' ? 'south' : 'mid';
+  const lost = on(victim);
+  assert.ok(lost.length > 0, 'two machines hold four each');
+  process.kill(processes.get(victim)!.pid!, 'SIGKILL');
+  const elsewhere = (): string[] => [...on('north'), ...on(other)];
+  await until(
+    'its replicas run elsewhere',
+    async () => Promise.resolve(lost.every((t) => elsewhere().includes(t))),
+    60_000,
+  );
+  const said = async (port = 18860): Promise<number> => {
+    const r = await ask('GET', Paths.job.replace(':id', 'req-000001'), undefined, port);
+    const answer = r.status === 200 ? decodeAs(jobAnswer, r.body) : undefined;
+    return answer?.ok ? (answer.value.running ?? 0) : -1;
+  };
+  const keeper = processes.get('north')!;
+  process.kill(keeper.pid!, 'SIGKILL');
+  await pause(1500);
+  processes.set('north', up('north'));
+  processes.set(victim, up(victim));
+  await until(
+    'six run again',
+    async () => (await said()) === 6 || (await said(other === 'mid' ? 18870 : 18880)) === 6,
+    90_000,
+  );
+  assert.equal(existsSync(join(s.shared, 'beside')), false);
+  for (const p of processes.values()) process.kill(p.pid!, 'SIGTERM');
+});
--- a/test/cuts/cuts.ts
+++ b/test/cuts/cuts.ts
@@ -56,8 +56,8 @@
   return { file, data: join(folder, 'data'), shared, address: `127.0.0.1:${port}` };
 }
 
-export const startProcess = (site: SiteFolder): ChildProcess =>
-  spawn(process.execPath, [MAIN, 'appliance', 'up', '--foreground', '--site', site.file], {
+export const startProcess = (site: SiteFolder, ...more: string[]): ChildProcess =>
+  spawn(process.execPath, [MAIN, 'appliance', 'up', '--foreground', '--site', site.file, ...more], {
     stdio: 'ignore',
     detached: true,
   });
