--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -31,6 +31,8 @@
   readonly zone: ZoneName;
   readonly reportS: number;
   readonly leaseS: number;
+  /** How long everything here may run on, even if this process hangs. */
+  readonly onLease: (ms: number) => void;
   /** File with what must outlive this process. */
   readonly memory: string;
 }
@@ -137,7 +139,7 @@
     this.session++;
     this.seq = 0n;
     this.remember();
-    this.leaseFrom = this.d.clock.now();
+    this.renewed(this.d.clock.now());
     this.changed = true;
     this.ending = false;
   }
@@ -175,7 +177,7 @@
       const answer = decodeAs(commandsSchema, reply.value.body);
       if (!answer.ok || answer.value.token < this.token) return;
       this.noteToken(answer.value.token);
-      if (sent > this.leaseFrom) this.leaseFrom = sent;
+      if (sent > this.leaseFrom) this.renewed(sent);
       for (const c of answer.value.commands) this.d.tasks.execute(c);
       if (answer.value.commands.length > 0) this.changed = true;
       return;
@@ -192,6 +194,12 @@
     }
   }
 
+  private renewed(from: SteadyMs): void {
+    this.leaseFrom = from;
+    const { clock, leaseS } = this.d;
+    this.d.onLease(Math.max(0, from + leaseS * 1000 - clock.now()));
+  }
+
   /** Stored before anything is done under it: an older one is never obeyed again, not even by a later life. */
   private noteToken(token: bigint): void {
     if (token <= this.token) return;
@@ -234,7 +242,7 @@
     this.seq = 0n;
     this.recallAt = undefined;
     this.remember();
-    this.leaseFrom = this.d.clock.now();
+    this.renewed(this.d.clock.now());
     this.nextReport = -Infinity;
     this.ending = false;
     this.d.log.info('claimed', { machine: claim.value });
--- a/src/agent/processes.ts
+++ b/src/agent/processes.ts
@@ -1,6 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process';
-import { existsSync, mkdirSync, readdirSync, readFileSync, rmSync } from 'node:fs';
-import { constants, setPriority } from 'node:os';
+import { existsSync, mkdirSync, readdirSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import { constants, setPriority, uptime } from 'node:os';
 import { join } from 'node:path';
 import type { Readable, Writable } from 'node:stream';
 import * as z from 'zod';
@@ -9,13 +9,20 @@
 
 /**
  * A task's process group. Its leader is a shell that waits for a word before it runs anything, and ends the whole group when the
- * pipe to its agent closes: whatever becomes of the agent, nothing runs on unseen, and nothing starts that isn't written down.
+ * pipe to its agent closes: whatever becomes of the agent, nothing runs on unseen, and nothing starts that isn't written down. An
+ * agent that hangs closes no pipe: so the shell also looks, by the machine's own steady clock, whether the lease that the agent
+ * last wrote down has run out (seen: tasks of a stopped agent beside those that were started in their place).
  */
 const LEADER = `
 ulimit -c 0
 read -r go <&3 || exit 125
 [ "$go" = go ] || exit 125
 ( read -r never <&3; kill -KILL 0 ) &
+( while sleep 2; do
+    read -r up rest < /proc/uptime || exit 0
+    read -r until < "$0" || continue
+    [ "\${up%.*}" -gt "$until" ] && kill -KILL 0
+  done ) 3<&- &
 "$@" 3<&- &
 child=$!
 trap 'kill -TERM $child 2>/dev/null' TERM
@@ -126,6 +133,17 @@
     mkdirSync(folder, { recursive: true });
   }
 
+  private get leaseFile(): string {
+    return join(this.folder, 'lease');
+  }
+
+  /** Everything here may run for so long from now; what hangs is ended by its own group's leader then. */
+  mayRunFor(ms: number): void {
+    const part = `${this.leaseFile}.part`;
+    writeFileSync(part, `${Math.ceil(uptime() + ms / 1000)}\n`);
+    renameSync(part, this.leaseFile);
+  }
+
   /** Ends what an earlier life left running. Resolves when all of it is gone. */
   async endOrphans(): Promise<number> {
     let ended = 0;
@@ -159,7 +177,7 @@
     let child: ChildProcess;
     try {
       mkdirSync(l.folder, { recursive: true });
-      child = spawn('/bin/sh', ['-c', LEADER, 'gorseyoke-task', ...l.argv], {
+      child = spawn('/bin/sh', ['-c', LEADER, this.leaseFile, ...l.argv], {
         cwd: l.folder,
         env: { ...l.env },
         detached: true,
--- a/src/appliance/site.ts
+++ b/src/appliance/site.ts
@@ -176,6 +176,7 @@
     reportS: site.timing.reportS,
     leaseS: site.timing.leaseS,
     memory: place.agent,
+    onLease: (ms) => processes.mayRunFor(ms),
   });
   changed.tell = () => agent.noteChange();
   await serve(portOf(node, 4), agent.routes);
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -2,6 +2,7 @@
 export { stateCommands } from './commands.js';
 export { Book, HISTORY } from './book.js';
 export type { StateLimits } from './requests.js';
+export { Names, packHead, packKept } from './records.js';
 export { StateService, type StateDeps } from './service.js';
 export { restoreSnapshot, takeSnapshot, verifyFolder } from './snapshot.js';
 export { Damaged, Locked, openStorage, type Storage, type View, type Write } from './storage.js';
--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -253,6 +253,19 @@
   assert.equal(next.recorded, 0);
 });
 
+test('tasks of an agent that hangs end with the lease that it last wrote down', async () => {
+  const b = bench(['/bin/sh', '-c', 'sleep 100 & wait']);
+  b.processes.mayRunFor(60_000);
+  b.run({ op: 'start' });
+  await until('running', () => b.state() === 'running');
+  const pid = b.tasks.list()[0]!.pid!;
+  await pause(2600);
+  assert.ok(runs(pid), 'within its lease');
+  b.processes.mayRunFor(0);
+  await until('the group ended itself', () => !runs(pid), 6000);
+  await until('and the agent, if it lives, sees it', () => b.state() === 'exited error');
+});
+
 test('what an earlier life left is ended; a number that somebody else has now is left alone', async () => {
   const place = folder();
   const mine = spawn('/bin/sleep', ['100'], { detached: true, stdio: 'ignore' });
--- /dev/null
+++ b/test/measure/state.ts
@@ -0,0 +1,128 @@
+import { closeSync, fsyncSync, mkdtempSync, openSync, rmSync, writeSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { encode } from '../../src/protocol/codec.js';
+import { encodeError } from '../../src/protocol/jobs.js';
+import { F, Paths } from '../../src/protocol/wire.js';
+import {
+  Book,
+  Names,
+  openStorage,
+  packHead,
+  packKept,
+  StateService,
+  type Write,
+} from '../../src/state/index.js';
+import { systemClock } from '../../src/transport/clock.js';
+import { netHttpClient } from '../../src/transport/http-client.js';
+import { serveHttp } from '../../src/transport/http-server.js';
+import { silentLog } from '../../src/transport/log.js';
+import { Metrics } from '../../src/transport/metrics.js';
+
+/** The durable state service on this machine's disk: `npm run measure:state -- [keys]`. */
+const most = Number(process.argv[2] ?? 1_000_000);
+const say = (line: string): void => void process.stdout.write(`${line}\n`);
+const folder = mkdtempSync(join(process.env['MEASURE_IN'] ?? tmpdir(), 'gorseyoke-measure-'));
+const http = netHttpClient(64, 'application/cbor');
+const seconds = async (run: () => Promise<void>): Promise<number> => {
+  const from = performance.now();
+  await run();
+  return (performance.now() - from) / 1000;
+};
+
+const file = openSync(join(folder, 'plain'), 'w');
+const fsyncs = 500;
+const fsyncS = await seconds(async () => {
+  for (let i = 0; i < fsyncs; i++) {
+    writeSync(file, Buffer.alloc(600));
+    fsyncSync(file);
+  }
+  return Promise.resolve();
+});
+closeSync(file);
+const rate = fsyncs / fsyncS;
+say(`the disk's own: ${Math.round(rate)} writes of 600 bytes with fsync a second`);
+
+async function start(place: string) {
+  const service = await StateService.open({
+    clock: systemClock,
+    log: silentLog,
+    metrics: new Metrics(),
+    limits: { rps: 1e9, writeRps: 1e9, txnOps: 12, valueKb: 16 },
+    open: () => openStorage(place),
+  });
+  const server = await serveHttp('127.0.0.1:0', service.routes, {
+    maxBody: 65_536,
+    contentType: 'application/cbor',
+    errorBody: encodeError,
+    maxConnections: 200,
+  });
+  return { service, server, at: `127.0.0.1:${server.port}` };
+}
+
+const value = { text: 'x'.repeat(200) };
+async function load(clients: number, n: number, ask: (i: number) => Promise<void>): Promise<number> {
+  let next = 0;
+  const s = await seconds(async () => {
+    await Promise.all(
+      Array.from({ length: clients }, async () => {
+        while (next < n) await ask(next++);
+      }),
+    );
+  });
+  return n / s;
+}
+const writeOne =
+  (at: string) =>
+  async (i: number): Promise<void> => {
+    const body = encode({ [F.if]: [], [F.then]: [{ [F.put]: `w/${i}`, [F.value]: value }] });
+    const r = await http.call(at, 'POST', Paths.txn, body, 20_000);
+    if (!r.ok || r.value.status !== 200) throw new Error('refused');
+  };
+
+const small = await start(join(folder, 'small'));
+for (const clients of [1, 8, 32]) {
+  const perS = await load(clients, clients === 1 ? 1500 : 6000, writeOne(small.at));
+  say(
+    `${clients} clients: ${Math.round(perS)} synced transactions a second, ${(perS / rate).toFixed(2)} of the disk's fsyncs`,
+  );
+}
+small.server.close();
+await small.service.close();
+
+for (const keys of [most / 100, most / 10, most]) {
+  const place = join(folder, `k${keys}`);
+  const storage = await openStorage(place);
+  const book = await Book.open(storage);
+  let batch: Write[] = [];
+  for (let i = 0; i < keys; i++) {
+    const key = `key/${String(i).padStart(9, '0')}`;
+    batch.push({ name: Names.key(key), bytes: packKept(key, { mark: 1, lease: 0, value }) });
+    if (batch.length === 20_000) {
+      await storage.write(batch);
+      batch = [];
+    }
+  }
+  batch.push({ name: Names.head, bytes: packHead({ ...book.head, revision: 1, forgotten: 1, keys }) });
+  await storage.write(batch);
+  await storage.close();
+  let opened: Awaited<ReturnType<typeof start>> | undefined;
+  const openS = await seconds(async () => {
+    opened = await start(place);
+  });
+  const { server, service, at } = opened!;
+  const reads = await load(32, 6000, async () => {
+    const key = `key/${String(Math.floor(Math.random() * keys)).padStart(9, '0')}`;
+    const r = await http.call(at, 'GET', `${Paths.keys}/${key}`, undefined, 20_000);
+    if (!r.ok || r.value.status !== 200) throw new Error('missing');
+  });
+  const writes = await load(32, 4000, writeOne(at));
+  const rss = Math.round(process.memoryUsage().rss / 2 ** 20);
+  say(
+    `${keys} keys: open in ${openS.toFixed(2)} s, ${Math.round(reads)} reads and ${Math.round(writes)} writes a second, ${rss} MB with the load generator`,
+  );
+  server.close();
+  await service.close();
+}
+rmSync(folder, { recursive: true, force: true });
+process.exit(0);
