--- a/test/cuts/cuts.ts
+++ b/test/cuts/cuts.ts
@@ -56,11 +56,14 @@
   return { file, data: join(folder, 'data'), shared, address: `127.0.0.1:${port}` };
 }
 
-export const startProcess = (site: SiteFolder, ...more: string[]): ChildProcess =>
-  spawn(process.execPath, [MAIN, 'appliance', 'up', '--foreground', '--site', site.file, ...more], {
-    stdio: 'ignore',
-    detached: true,
-  });
+/** Ends with whoever started it, a test that failed in the middle among them. */
+export function startProcess(site: SiteFolder, ...more: string[]): ChildProcess {
+  const args = [MAIN, 'appliance', 'up', '--foreground', '--site', site.file, ...more];
+  const child = spawn(process.execPath, args, { stdio: 'ignore', detached: true });
+  child.unref();
+  process.once('exit', () => child.kill('SIGKILL'));
+  return child;
+}
 
 export async function untilUp(site: SiteFolder, ms = 30_000): Promise<number> {
   const from = performance.now();
