Read again: one piece where several were, totals over all, drains that survive a cut

Cause: reading the change again found the same thing written two to four times, and two faults: the console's totals were sums over the first 200 jobs only, and a drain under way was forgotten by a power cut, so the machine was kept for ever and the owner told otherwise.

Change: one reader of S-expressions (three before), one memory of nonces (two), one file writer that syncs (two), one set of replies for users and pipelines (two), one turn-over of an agent's session (three), one state server for tests and measures (four); subsystems' commands loaded by one rule. The overview sums over everything and writes out only what is shown. A drain is a wanted state with a time, which the provider's loop works off.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -15,7 +15,8 @@
 } from '../protocol/ids.js';
 import { Paths } from '../protocol/wire.js';
 import { commandsSchema, encodeReport, redirectSchema, type Report } from '../protocol/workers.js';
-import { memorySchema, readDurable, writeDurably, type Memory } from './durable.js';
+import { readDurable, writeDurably } from '../transport/durable.js';
+import { memorySchema, type Memory } from './memory.js';
 import { claimSchema, ClaimPaths, recallSchema } from './claims.js';
 import type { Tasks } from './tasks.js';
 
@@ -133,14 +134,21 @@
   }
 
   private async expire(): Promise<void> {
-    this.ending = true;
     this.d.log.info('lease-over', { session: Number(this.session), tasks: this.d.tasks.live });
+    await this.beginSession(this.machine);
+    this.changed = true;
+  }
+
+  /** Everything here ends, and what comes next is a session of its own, under that name. */
+  private async beginSession(machine: MachineId | undefined): Promise<void> {
+    this.ending = true;
     await this.d.tasks.endAll();
+    if (machine !== this.machine) this.recallAt = undefined;
+    this.machine = machine;
     this.session++;
     this.seq = 0n;
     this.remember();
     this.renewed(this.d.clock.now());
-    this.changed = true;
     this.ending = false;
   }
 
@@ -233,18 +241,15 @@
   private async claim(body: Uint8Array): Promise<Reply> {
     const claim = decodeAs(claimSchema, body);
     if (!claim.ok) return { status: 400 };
-    if (this.machine === claim.value) return { status: 200, body: encode({}) };
+    if (this.machine === claim.value) {
+      // Claimed as it is: whoever wanted it back thought better of it.
+      if (this.recallAt !== undefined) this.changed = true;
+      this.recallAt = undefined;
+      return { status: 200, body: encode({}) };
+    }
     if (this.ending) return { status: 503 };
-    this.ending = true;
-    await this.d.tasks.endAll();
-    this.machine = claim.value as MachineId;
-    this.session++;
-    this.seq = 0n;
-    this.recallAt = undefined;
-    this.remember();
-    this.renewed(this.d.clock.now());
+    await this.beginSession(claim.value as MachineId);
     this.nextReport = -Infinity;
-    this.ending = false;
     this.d.log.info('claimed', { machine: claim.value });
     return { status: 200, body: encode({}) };
   }
@@ -255,13 +260,7 @@
     if (!claim.ok) return { status: 400 };
     if (this.machine !== claim.value) return { status: 200, body: encode({}) };
     if (this.ending) return { status: 503 };
-    this.ending = true;
-    this.machine = undefined;
-    this.recallAt = undefined;
-    await this.d.tasks.endAll();
-    this.session++;
-    this.remember();
-    this.ending = false;
+    await this.beginSession(undefined);
     this.d.log.info('released', { machine: claim.value });
     return { status: 200, body: encode({}) };
   }
--- a/src/agent/gangs.ts
+++ b/src/agent/gangs.ts
@@ -136,7 +136,7 @@
     const missing = members.some((m) => m === undefined);
     const begun = there.has('start');
     if (!begun && !missing) {
-      // Only if all of them are still there at that moment.
+      // Only if they are still there then, as many of them as one transaction may ask for.
       await this.txn(
         [
           { key: this.key('start'), mark: NO_MARK },
--- a/src/agent/index.ts
+++ b/src/agent/index.ts
@@ -1,7 +1,6 @@
 /** A worker for this machine: the protocol's section on workers, on ordinary processes. */
 export { Agent, type AgentDeps } from './agent.js';
 export { ClaimPaths, encodeClaim, encodeRecall } from './claims.js';
-export { readDurable, writeDurably } from './durable.js';
 export { Images } from './images.js';
 export { Outputs } from './outputs.js';
 export { identityOf, Processes } from './processes.js';
--- a/src/agent/processes.ts
+++ b/src/agent/processes.ts
@@ -5,7 +5,7 @@
 import type { Readable, Writable } from 'node:stream';
 import * as z from 'zod';
 import type { Log } from '../transport/log.js';
-import { readDurable, writeDurably } from './durable.js';
+import { readDurable, writeDurably } from '../transport/durable.js';
 
 /**
  * A task's process group. Its leader is a shell that waits for a word before it runs anything, and ends the whole group when the
--- a/src/commands.ts
+++ b/src/commands.ts
@@ -78,23 +78,25 @@
     .option(...at)
     .action((id: string, o: { at: string }) => explainRemote(o.at, id).then(report));
 
-  // The parsers of files and requests are loaded where they are asked for.
-  if (['pipeline', 'prompt', 'help', '--help', '-h'].includes(process.argv[2] ?? '')) {
+  // Subsystems are loaded where they are asked for.
+  const wanted = (...names: string[]): boolean =>
+    [...names, 'help', '--help', '-h'].includes(process.argv[2] ?? '');
+  if (wanted('pipeline', 'prompt')) {
     const { pipelineCommands } = await import('./pipelines/index.js');
     pipelineCommands(program, { read, fail, exit: EXIT, explain: explainRemote, namesPath: OPS.names });
   }
 
-  if (['state', 'help', '--help', '-h'].includes(process.argv[2] ?? '')) {
+  if (wanted('state')) {
     const { stateCommands } = await import('./state/index.js');
     stateCommands(program, (result) => report(result));
   }
 
-  if (['appliance', 'help', '--help', '-h'].includes(process.argv[2] ?? '')) {
+  if (wanted('appliance')) {
     const { applianceCommands } = await import('./appliance/index.js');
     applianceCommands(program, { read, fail, exit: EXIT });
   }
 
-  if (['console', 'help', '--help', '-h'].includes(process.argv[2] ?? '')) {
+  if (wanted('console')) {
     const { consoleCommand } = await import('./console/index.js');
     consoleCommand(program, {
       submit: submitJob,
--- a/src/console/picture.ts
+++ b/src/console/picture.ts
@@ -27,7 +27,13 @@
 const pictureSchema = z.object({
   member: z.string(),
   storeOk: z.boolean(),
-  counts: z.object({ jobs: z.number(), machines: z.number() }),
+  total: z.object({
+    jobs: z.number(),
+    machines: z.number(),
+    running: z.number(),
+    waiting: z.number(),
+    assumed: z.number(),
+  }),
   jobs: z.array(jobSchema),
   machines: z.array(machineSchema),
   ends: z.array(z.string()),
--- a/src/console/views.ts
+++ b/src/console/views.ts
@@ -14,21 +14,20 @@
 
 const short = (id: string): string => id.replace(/^req-0*(?=[0-9])/, '');
 
-const some = (lines: readonly string[], what: string): string[] =>
-  lines.length <= MOST_LINES
+/** `of`: how many there are, where the picture itself shows fewer. */
+const some = (lines: readonly string[], what: string, of = lines.length): string[] =>
+  of <= MOST_LINES
     ? [...lines]
-    : [...lines.slice(0, MOST_LINES - 1), `… ${lines.length - MOST_LINES + 1} more ${what}`];
+    : [...lines.slice(0, MOST_LINES - 1), `… ${of - MOST_LINES + 1} more ${what}`];
 
 /** Counts, and whatever a person should look at. */
 export function summary(p: Picture): string[] {
-  const sum = (of: (j: Picture['jobs'][number]) => number): number => p.jobs.reduce((n, j) => n + of(j), 0);
-  const waiting = sum((j) => Math.max(0, j.tasks - j.done - j.running - j.other));
-  const assumed = sum((j) => j.assumed);
+  const { total } = p;
   const silent = p.machines.filter((m) => m.state === 'up' && !m.confirmed);
   const lines = [
-    `${p.counts.jobs} jobs: ${sum((j) => j.running)} tasks run, ${waiting} wait; ${p.counts.machines} machines`,
+    `${total.jobs} jobs: ${total.running} tasks run, ${total.waiting} wait; ${total.machines} machines`,
   ];
-  if (assumed > 0) lines.push(`! ${assumed} tasks are assumed, not confirmed`);
+  if (total.assumed > 0) lines.push(`! ${total.assumed} tasks are assumed, not confirmed`);
   for (const m of silent.slice(0, 3))
     lines.push(`! ${m.id} silent ${m.heard === null ? 'since it was seen' : `for ${span(m.heard)}`}`);
   if (!p.storeOk) lines.push('! the state service does not answer: nothing new is decided');
@@ -44,7 +43,7 @@
     if (j.why !== null) parts.push(j.why);
     return `${parts.join(', ')} (${span(j.age)})`;
   });
-  return lines.length === 0 ? ['no jobs'] : some(lines, 'jobs');
+  return lines.length === 0 ? ['no jobs'] : some(lines, 'jobs', p.total.jobs);
 }
 
 export function machineLines(p: Picture): string[] {
@@ -54,7 +53,7 @@
       : `${m.tasks.length} tasks assumed${m.heard === null ? ', never heard' : ` since ${span(m.heard)}`}`;
     return `${m.id} ${m.type} ${m.state}${m.leaving ? ', leaving' : ''}: ${known}`;
   });
-  return lines.length === 0 ? ['no machines'] : some(lines, 'machines');
+  return lines.length === 0 ? ['no machines'] : some(lines, 'machines', p.total.machines);
 }
 
 /** What runs where; of a machine that is silent, what ran there as far as anybody knows. */
--- a/src/coordination/explain/explain.ts
+++ b/src/coordination/explain/explain.ts
@@ -2,7 +2,7 @@
 import type { JobId, TeamName, TypeName } from '../../protocol/ids.js';
 import type { MachineType } from '../../protocol/cloud.js';
 import type { TeamLimits } from '../../protocol/settings.js';
-import { teamUse, type Job } from '../../bookkeeping/world.js';
+import { teamUse, waitingCount, type Job, type Machine } from '../../bookkeeping/world.js';
 import { fitsType } from '../rounds/eligibility.js';
 import { type Unplaced } from '../rounds/snapshot.js';
 import type { ExplainedWorld } from '../views.js';
@@ -98,47 +98,55 @@
 const MOST_SHOWN = 200;
 const MOST_ENDS = 20;
 
+interface Tally {
+  running: number;
+  other: number;
+  assumed: number;
+}
+
 /**
  * What the holder knows, and how: a task is `confirmed` when a report showed it within the time in which one is due, else it is
- * `assumed` since the last report, or since it was committed. Ages are in seconds.
+ * `assumed` since the last report, or since it was committed. Ages are in seconds. Totals are of everything, lists of the first.
  */
 export function overview(ctx: ExplainContext, dueMs: number): Record<string, unknown> {
   const { world } = ctx;
   const now = ctx.clock.now();
   const age = (then: SteadyMs): number => Math.max(0, Math.round((now - then) / 1000));
+  const isConfirmed = (m: Machine): boolean => m.lastReport !== undefined && now - m.lastReport <= dueMs;
   const why = new Map<Job, string>();
   for (const u of ctx.unplaced) why.set(u.job, u.reason);
-  const jobs = [...world.jobs.values()].map((job) => {
-    let running = 0;
-    let other = 0;
-    let assumed = 0;
+  const total = { jobs: world.jobs.size, machines: world.machines.size, running: 0, waiting: 0, assumed: 0 };
+  const jobs: Record<string, unknown>[] = [];
+  for (const job of world.jobs.values()) {
+    const tally: Tally = { running: 0, other: 0, assumed: 0 };
     for (const p of job.placements.values()) {
       if (p.ended) continue;
-      if (p.state === 'running') running++;
-      else other++;
-      const heard = p.machine.lastReport;
-      if (p.state === undefined || heard === undefined || now - heard > dueMs) assumed++;
+      if (p.state === 'running') tally.running++;
+      else tally.other++;
+      if (p.state === undefined || !isConfirmed(p.machine)) tally.assumed++;
     }
-    return {
+    total.running += tally.running;
+    total.assumed += tally.assumed;
+    total.waiting += waitingCount(job);
+    if (jobs.length >= MOST_SHOWN) continue;
+    jobs.push({
       id: job.id,
       team: job.spec.team,
       kind: job.spec.kind,
       tasks: job.spec.tasks,
       done: job.done.count,
-      running,
-      other,
-      assumed,
+      ...tally,
       age: age(job.acceptedAt),
       why: job.cancelledAt !== undefined ? 'cancelled' : (why.get(job) ?? null),
-    };
-  });
-  const machines = [...world.machines.values()].map((m) => ({
+    });
+  }
+  const machines = [...world.machines.values()].slice(0, MOST_SHOWN).map((m) => ({
     id: m.id,
     type: m.type,
     zone: m.zone,
     state: m.state,
     heard: m.lastReport === undefined ? null : age(m.lastReport),
-    confirmed: m.lastReport !== undefined && now - m.lastReport <= dueMs,
+    confirmed: isConfirmed(m),
     leaving: m.noticeAt !== undefined,
     tasks: [...m.placements]
       .filter((p) => !p.ended)
@@ -147,9 +155,9 @@
   }));
   return {
     storeOk: ctx.storeOk,
-    counts: { jobs: jobs.length, machines: machines.length },
-    jobs: jobs.slice(0, MOST_SHOWN),
-    machines: machines.slice(0, MOST_SHOWN),
+    total,
+    jobs,
+    machines,
     ends: [...world.ended].slice(-MOST_ENDS).reverse(),
   };
 }
--- a/src/coordination/pipelines/accepting.ts
+++ b/src/coordination/pipelines/accepting.ts
@@ -24,7 +24,7 @@
 import { isHeld } from './progress.js';
 import { structureFaults } from './structure.js';
 import type { PipelineUsersDeps } from './users.js';
-import { later, refuse, TRIES, unanswered } from './replies.js';
+import { later, refuse, TRIES, unanswered } from '../replies.js';
 import { Showing } from './showing.js';
 
 /** Bytes of one transaction that the state service takes, with some room for its own framing. */
--- a/src/coordination/pipelines/changing.ts
+++ b/src/coordination/pipelines/changing.ts
@@ -7,7 +7,7 @@
 import { Keys, seal, type EndRecord } from '../../bookkeeping/records.js';
 import { isHeld, isOver } from './progress.js';
 import type { PipelineUsersDeps } from './users.js';
-import { later, refuse, TRIES, unanswered } from './replies.js';
+import { later, refuse, TRIES, unanswered } from '../replies.js';
 import { Showing } from './showing.js';
 
 /** Cancelling and trying anew: changes of a head that is what it was thought to be. */
--- a/src/coordination/pipelines/showing.ts
+++ b/src/coordination/pipelines/showing.ts
@@ -13,7 +13,7 @@
 import { unseal } from '../../bookkeeping/records.js';
 import { isHeld, startsLater, waitsFor } from './progress.js';
 import type { PipelineUsersDeps } from './users.js';
-import { later, refuse, unanswered } from './replies.js';
+import { later, refuse, unanswered } from '../replies.js';
 
 /** Whether a step's job, as far as its pipeline says, is known to users, and as what. */
 export type HeldState = { readonly state: JobState; readonly done: number } | 'pending' | undefined;
--- a/src/coordination/pipelines/replies.ts
+++ b/src/coordination/replies.ts
@@ -1,5 +1,5 @@
-import type { Reply } from '../../transport/http.js';
-import { encodeError } from '../../protocol/jobs.js';
+import type { Reply } from '../transport/http.js';
+import { encodeError } from '../protocol/jobs.js';
 
 export const refuse = (status: number, message: string): Reply => ({ status, body: encodeError(message) });
 
--- a/src/coordination/users/users.ts
+++ b/src/coordination/users/users.ts
@@ -7,7 +7,6 @@
 import { JOB_ID, NO_MARK, type JobId, type StoreKey, type TeamName, type Term } from '../../protocol/ids.js';
 import {
   elasticFault,
-  encodeError,
   encodeJobAnswer,
   submission,
   type JobAnswer,
@@ -27,6 +26,7 @@
 } from '../../bookkeeping/records.js';
 import type { Store } from '../../bookkeeping/store.js';
 import type { Peers } from '../term/peers.js';
+import { later, refuse } from '../replies.js';
 import type { HeldState } from '../pipelines/showing.js';
 import type { PipelineUsers } from '../pipelines/users.js';
 import { fitsType } from '../rounds/eligibility.js';
@@ -50,15 +50,6 @@
   readonly counts: (id: JobId) => { done: number; running: number } | undefined;
 }
 
-const refuse = (status: number, message: string): Reply => ({ status, body: encodeError(message) });
-
-/** The service can't say now: told at once, with the time to come back. */
-const later = (why: string): Reply => ({
-  status: 503,
-  body: encodeError(why),
-  headers: { 'retry-after': '1' },
-});
-
 interface Pending {
   readonly spec: JobSpec;
   readonly sealed: Sealed;
--- a/src/keys/file.ts
+++ b/src/keys/file.ts
@@ -1,21 +1,13 @@
 import { hexToBytes } from '@noble/hashes/utils.js';
 import { randomBytes } from 'node:crypto';
 import { err, ok, type Result } from '../transport/result.js';
+import { parseSexpr, partsOf, wordOf, type Sexpr } from '../protocol/sexpr.js';
 import type { Key, Role } from './mac.js';
 
-interface Node {
-  readonly type: 'list' | 'atom' | 'string';
-  readonly content: string | readonly Node[];
-  readonly location: { readonly start: { readonly line: number; readonly column: number } };
-}
-
 const NAME = /^[a-z][a-z0-9-]{0,40}$/;
 const SECRET = /^[0-9a-f]{64,128}$/;
 
-const words = (n: Node): string[] =>
-  n.type === 'list'
-    ? (n.content as readonly Node[]).map((c) => (c.type === 'list' ? '(' : (c.content as string)))
-    : [];
+const words = (s: Sexpr): string[] => partsOf(s).map((p) => wordOf(p) ?? '(');
 
 function roleOf(kind: string, teams: readonly string[]): Role | string {
   if (kind === 'submitter')
@@ -29,17 +21,12 @@
  * `(key NAME SECRET ROLE TEAM…)` a line. The secret is 64 digits of base sixteen or more; a fault never shows one.
  */
 export async function parseKeys(source: string): Promise<Result<readonly Key[], readonly string[]>> {
-  // @ts-expect-error the package brings no types
-  const loaded = (await import('sexpr-plus')) as { default: { parse(text: string): readonly Node[] } };
-  let nodes: readonly Node[];
-  try {
-    nodes = loaded.default.parse(source);
-  } catch {
-    return err(['not S-expressions']);
-  }
+  const nodes = await parseSexpr(source);
+  // Not the parser's own words: they quote what stands there.
+  if (!nodes.ok) return err(['not S-expressions']);
   const keys: Key[] = [];
   const faults: string[] = [];
-  for (const node of nodes) {
+  for (const node of nodes.value) {
     const [head, name = '', secret = '', kind = '', ...teams] = words(node);
     const fault = (what: string): void => void faults.push(`line ${node.location.start.line}: ${what}`);
     if (head !== 'key') fault('expected (key name secret role)');
--- a/src/keys/mac.ts
+++ b/src/keys/mac.ts
@@ -4,6 +4,7 @@
 import { randomBytes, timingSafeEqual } from 'node:crypto';
 import type { Clock } from '../transport/clock.js';
 import type { RequestHead, Signer } from '../transport/http.js';
+import { Nonces } from './nonces.js';
 
 /** Who somebody is: a name, what they may do, and a secret that both sides know. */
 export interface Key {
@@ -20,11 +21,6 @@
   | { readonly kind: 'node' };
 
 export const HEADER = 'x-gorseyoke-mac';
-/** How far the times of day of two machines may be apart, and how long a nonce is remembered. */
-export const WINDOW_MS = 60_000;
-/** A flood of requests with good keys must not fill the memory. */
-const MOST_NONCES = 200_000;
-
 const EMPTY = new Uint8Array();
 
 /** The body stands in it by its own hash, so that it may be large. */
@@ -52,17 +48,11 @@
 /** Says whose a request is; nobody learns which part of it was wrong. */
 export class Verifier {
   private readonly keys: ReadonlyMap<string, Key>;
-  /** Nonces of two windows: the one that runs, and the one before. */
-  private seen = new Set<string>();
-  private before = new Set<string>();
-  private turnedAt: number;
+  private readonly nonces: Nonces;
 
-  constructor(
-    keys: readonly Key[],
-    private readonly clock: Clock,
-  ) {
+  constructor(keys: readonly Key[], clock: Clock) {
+    this.nonces = new Nonces(clock);
     this.keys = new Map(keys.map((k) => [k.name, k]));
-    this.turnedAt = clock.now();
   }
 
   verify(head: RequestHead, body: Uint8Array): Key | undefined {
@@ -75,20 +65,6 @@
     const secret = key?.secret ?? EMPTY;
     const wanted = macOf(secret, head.method ?? '', head.url ?? '', time, nonce, body);
     if (!timingSafeEqual(wanted, hexToBytes(mac)) || !key) return undefined;
-    if (Math.abs(this.clock.wall() - Number(time)) > WINDOW_MS) return undefined;
-    return this.fresh(`${name} ${nonce}`) ? key : undefined;
-  }
-
-  /** A nonce may come once in the time in which its request would be taken: within a window on either side of its time. */
-  private fresh(nonce: string): boolean {
-    const now = this.clock.now();
-    if (now - this.turnedAt > 2 * WINDOW_MS) {
-      this.before = now - this.turnedAt > 4 * WINDOW_MS ? new Set() : this.seen;
-      this.seen = new Set();
-      this.turnedAt = now;
-    }
-    if (this.seen.has(nonce) || this.before.has(nonce) || this.seen.size >= MOST_NONCES) return false;
-    this.seen.add(nonce);
-    return true;
+    return this.nonces.take(`${name} ${nonce}`, Number(time)) ? key : undefined;
   }
 }
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -1,4 +1,5 @@
 import { err, ok, type Result } from '../transport/result.js';
+import { parseSexpr, partsOf } from './sexpr.js';
 
 /**
  * The operators' own settings: a file of S-expressions such as
@@ -127,33 +128,19 @@
   },
 };
 
-interface Node {
-  readonly type: 'list' | 'atom' | 'string';
-  readonly content: string | readonly Node[];
-  readonly location: { readonly start: { readonly line: number; readonly column: number } };
-}
-
 export function defaultOperator(): Operator {
   return Object.fromEntries(Object.values(KNOBS).map((k) => [k.field, k.fallback])) as unknown as Operator;
 }
 
-/** The parser is loaded only when there is a file to read: a restart without one is sooner over. */
 export async function parseOperator(text: string): Promise<Result<Operator, readonly string[]>> {
-  // @ts-expect-error the package brings no types
-  const loaded = (await import('sexpr-plus')) as { default: { parse(text: string): readonly Node[] } };
-  const { parse } = loaded.default;
-  let nodes: readonly Node[];
-  try {
-    nodes = parse(text);
-  } catch (e) {
-    return err([`not S-expressions: ${(e as Error).message.split('\n')[0]}`]);
-  }
+  const nodes = await parseSexpr(text);
+  if (!nodes.ok) return err([nodes.error]);
   const faults: string[] = [];
   const values: Record<string, number> = { ...defaultOperator() };
   const seen = new Set<string>();
-  for (const node of nodes) {
+  for (const node of nodes.value) {
     const at = `line ${node.location.start.line}, column ${node.location.start.column}`;
-    const parts = node.type === 'list' ? (node.content as readonly Node[]) : [];
+    const parts = partsOf(node);
     if (parts.length !== 2 || parts.some((p) => p.type !== 'atom')) {
       faults.push(`${at}: expected (name number)`);
       continue;
--- a/src/provider/provider.ts
+++ b/src/provider/provider.ts
@@ -2,7 +2,8 @@
 import { DRIFT, sleep, type Clock, type SteadyMs } from '../transport/clock.js';
 import type { HttpClient, Reply, RequestHead, Route } from '../transport/http.js';
 import type { Log } from '../transport/log.js';
-import { ClaimPaths, encodeClaim, encodeRecall, readDurable, writeDurably } from '../agent/index.js';
+import { ClaimPaths, encodeClaim, encodeRecall } from '../agent/index.js';
+import { readDurable, writeDurably } from '../transport/durable.js';
 import { decodeAs, encode } from '../protocol/codec.js';
 import {
   encodeCatalog,
@@ -48,9 +49,10 @@
   claims: z.array(claimRecord),
   /** Answers of rentals, so that a repeat rents nothing. */
   hires: z.array(z.tuple([z.string(), z.array(z.string())])),
-  drained: z.array(z.string()),
+  /** Machines that the owner wants to himself, and from when on (time of day). */
+  drained: z.array(z.tuple([z.string(), z.number()])),
 });
-type Memory = { next: number; claims: Claim[]; hires: [string, string[]][]; drained: string[] };
+type Memory = { next: number; claims: Claim[]; hires: [string, string[]][]; drained: [string, number][] };
 
 const HIRES_KEPT = 5000;
 const ASK_MS = 5000;
@@ -99,6 +101,11 @@
     return this.d.machines.find((m) => m.name === name);
   }
 
+  /** From when on the owner wants the machine to himself; undefined: he doesn't. */
+  private drainedAt(name: string): number | undefined {
+    return this.memory.drained.find(([n]) => n === name)?.[1];
+  }
+
   private catalog(): Reply {
     const types = new Map(this.d.machines.map((m) => [m.type.name, m.type]));
     return { status: 200, body: encodeCatalog([...types.values()]) };
@@ -142,7 +149,7 @@
             m.type.name === type &&
             m.zone === zone &&
             !taken.has(m.name) &&
-            !this.memory.drained.includes(m.name),
+            this.drainedAt(m.name) === undefined,
         );
     if (free.length === 0) return refuse(503, 'no capacity');
     const claims = free.slice(0, count).map((m): Claim => ({
@@ -211,13 +218,30 @@
       await sleep(this.d.clock, 2000);
       for (const c of [...this.memory.claims]) {
         if (!this.alive) return;
-        if (c.returning) await this.letGo(c);
-        else if (this.memory.drained.includes(c.name)) continue;
-        else await this.tell(c);
+        await this.see(c);
       }
     }
   }
 
+  /**
+   * What is wanted of a claim, told again until it is so: an agent that began a new life, and a provider that did, know nothing
+   * of a drain that was under way (a site whose power went in the middle of one kept its machine for ever).
+   */
+  private async see(c: Claim): Promise<boolean> {
+    if (c.returning) {
+      await this.letGo(c);
+      return true;
+    }
+    const drainedAt = this.drainedAt(c.name);
+    if (drainedAt === undefined) return this.tell(c);
+    const leftMs = drainedAt - this.d.clock.wall();
+    if (leftMs > 0) return this.ask(c, ClaimPaths.recall, encodeRecall(c.id, leftMs / 1000));
+    c.returning = true;
+    this.save();
+    await this.letGo(c);
+    return true;
+  }
+
   // ---- the owner's side -----------------------------------------------------------------------------------
 
   private own(): Reply {
@@ -231,7 +255,7 @@
           type: m.type.name,
           zone: m.zone,
           machine: claims.get(m.name)?.id ?? null,
-          drained: this.memory.drained.includes(m.name),
+          drained: this.drainedAt(m.name) !== undefined,
         })),
       }),
     };
@@ -243,27 +267,21 @@
       body.length > 0 ? decodeAs(z.object({ within_s: z.number().min(0).max(86_400) }), body) : undefined;
     if (asked && !asked.ok) return refuse(400, asked.error);
     const withinS = asked?.value.within_s ?? 120;
-    if (!this.memory.drained.includes(name)) this.memory.drained.push(name);
+    this.memory.drained = [
+      ...this.memory.drained.filter(([n]) => n !== name),
+      [name, this.d.clock.wall() + withinS * 1000],
+    ];
     this.save();
     const claim = this.memory.claims.find((c) => c.name === name);
-    if (claim) {
-      const told = await this.ask(claim, ClaimPaths.recall, encodeRecall(claim.id, withinS));
-      if (!told) return refuse(503, `'${name}' can't be told just now; it takes nothing new once it is`);
-      this.d.clock.after(withinS * 1000, () => {
-        // Unless the owner thought better of it.
-        if (!this.memory.drained.includes(name) || !this.memory.claims.includes(claim)) return;
-        claim.returning = true;
-        this.save();
-        void this.letGo(claim);
-      });
-    }
+    if (claim && !(await this.see(claim)))
+      return refuse(503, `'${name}' can't be told just now; it is told as soon as it can`);
     this.d.log.info('drain', { name, withinS });
     return { status: 200, body: encode({}) };
   }
 
   private undrain(name: string): Reply {
     if (!this.machine(name)) return refuse(404, `no machine is called '${name}'`);
-    this.memory.drained = this.memory.drained.filter((n) => n !== name);
+    this.memory.drained = this.memory.drained.filter(([n]) => n !== name);
     this.save();
     this.d.log.info('undrain', { name });
     return { status: 200, body: encode({}) };
--- a/src/state/storage.ts
+++ b/src/state/storage.ts
@@ -1,6 +1,7 @@
-import { closeSync, existsSync, fsyncSync, mkdirSync, openSync, writeSync } from 'node:fs';
+import { existsSync, mkdirSync } from 'node:fs';
 import { join } from 'node:path';
 import { ClassicLevel } from 'classic-level';
+import { writeDurably } from '../transport/durable.js';
 import { checkLogs } from './log-check.js';
 
 export interface Write {
@@ -33,13 +34,7 @@
 export class Damaged extends Error {}
 
 const MARKER = 'gorseyoke-state';
-
-function writeSynced(path: string): void {
-  const file = openSync(path, 'w');
-  writeSync(file, 'The state of a gorseyoke site. See docs/appliance.md before moving anything here.\n');
-  fsyncSync(file);
-  closeSync(file);
-}
+const MARKED = 'The state of a gorseyoke site. See docs/appliance.md before moving anything here.\n';
 
 export async function openStorage(folder: string): Promise<Storage> {
   mkdirSync(folder, { recursive: true });
@@ -75,7 +70,7 @@
         { sync: true },
       );
       // From now on a folder that shows nothing has lost something.
-      if (fresh && !existsSync(marker)) writeSynced(marker);
+      if (fresh && !existsSync(marker)) writeDurably(marker, MARKED);
     },
     view() {
       const snapshot = db.snapshot();
--- a/src/agent/durable.ts
+++ b/src/transport/durable.ts
@@ -9,8 +9,8 @@
   writeSync,
 } from 'node:fs';
 import { dirname } from 'node:path';
-import * as z from 'zod';
-import { err, ok, type Result } from '../transport/result.js';
+import type * as z from 'zod';
+import { err, ok, type Result } from './result.js';
 
 /** Whole or not at all, and on the disk when it returns. */
 export function writeDurably(path: string, text: string): void {
@@ -34,16 +34,3 @@
     return err(`${path}: ${(e as Error).message.split('\n')[0]}`);
   }
 }
-
-/** What an agent must know of its earlier life: a session is never used twice, and no older token is obeyed. */
-export interface Memory {
-  readonly machine: string | null;
-  readonly session: number;
-  readonly token: string;
-}
-
-export const memorySchema = z.object({
-  machine: z.string().nullable(),
-  session: z.number().int().nonnegative(),
-  token: z.string().regex(/^[0-9]+$/),
-});
--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -5,7 +5,8 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
-import { Images, Processes, Tasks, readDurable, writeDurably } from '../src/agent/index.js';
+import { Images, Processes, Tasks } from '../src/agent/index.js';
+import { readDurable, writeDurably } from '../src/transport/durable.js';
 import * as z from 'zod';
 import type { Description } from '../src/protocol/descriptions.js';
 import { descriptionOf } from '../src/protocol/descriptions.js';
@@ -17,10 +18,7 @@
 import { systemClock } from '../src/transport/clock.js';
 import { netHttpClient } from '../src/transport/http-client.js';
 import { silentLog } from '../src/transport/log.js';
-import { openStorage, StateService } from '../src/state/index.js';
-import { serveHttp } from '../src/transport/http-server.js';
-import { Metrics } from '../src/transport/metrics.js';
-import { encodeError } from '../src/protocol/jobs.js';
+import { serveState } from './state-server.js';
 import { job, makeSite, pause } from './cuts/cuts.js';
 
 const folder = (): string => mkdtempSync(join(tmpdir(), 'gorseyoke-agent-'));
@@ -301,21 +299,8 @@
 // ---- gangs -------------------------------------------------------------------------------------------------
 
 test('a gang starts together, ends together, and breaks together', async () => {
-  const stateFolder = folder();
-  const service = await StateService.open({
-    clock: systemClock,
-    log: silentLog,
-    metrics: new Metrics(),
-    limits: { rps: 5000, writeRps: 5000, txnOps: 12, valueKb: 16 },
-    open: () => openStorage(stateFolder),
-  });
-  const server = await serveHttp('127.0.0.1:0', service.routes, {
-    maxBody: 65_536,
-    contentType: 'application/cbor',
-    errorBody: encodeError,
-    maxConnections: 100,
-  });
-  const state = `127.0.0.1:${server.port}`;
+  const server = await serveState(folder());
+  const state = server.address;
   const gang = { gait: 'ensemble', furrows: 2, vcpus: 1 };
   const two = (argv: string[], attempt: bigint): [Bench, Bench] => {
     const pair: [Bench, Bench] = [bench(argv, gang, state), bench(argv, gang, state)];
@@ -337,8 +322,7 @@
   await until('both run', () => c.state(0) === 'running' && d.state(1) === 'running');
   c.run({ op: 'stop', attempt: 3n as Attempt });
   await until('the other notices', () => d.state(1) === 'exited peers');
-  server.close();
-  await service.close();
+  await server.close();
 });
 
 // ---- settings ------------------------------------------------------------------------------------------------
--- a/test/appliance.test.ts
+++ b/test/appliance.test.ts
@@ -77,7 +77,7 @@
   await until('reminders run again', async () => (await running(s, 'req-000001')) === 2);
   assert.equal(run('job', 'cancel', 'req-000001', '--at', s.address).status, 0);
   await until('no process is left', async () =>
-    Promise.resolve(!existsSync(join(s.data, 'processes', 'x')) && (await running(s, 'req-000001')) <= 0),
+    Promise.resolve(!readdirSync(join(s.data, 'processes')).some((f) => f.endsWith('.json'))),
   );
   assert.match(run('appliance', 'down', '--site', s.file).stdout, /it is down/);
   assert.equal(existsSync(join(s.shared, 'beside')), false);
@@ -174,31 +174,53 @@
   process.kill(p.pid!, 'SIGTERM');
 });
 
+const own = (s: SiteFolder, verb: 'drain' | 'undrain', withinS = 3) =>
+  http.call(
+    s.address.replace(/\d$/, '3'),
+    'POST',
+    `/own/test/${verb}`,
+    verb === 'drain' ? encode({ within_s: withinS }) : undefined,
+    6000,
+  );
+
 test('a drained machine lets its work go and takes none until it is wanted again', async () => {
   const s = makeSite(18760);
   const p = startProcess(s);
   await untilUp(s);
   assert.equal(await submit(s, job(s, 1, 'daemon', 1, 1000)), 201);
   await until('it runs', async () => (await running(s, 'req-000001')) === 1);
-  const own = (verb: string) =>
-    http.call(
-      '127.0.0.1:18763',
-      'POST',
-      `/own/test/${verb}`,
-      verb === 'drain' ? encode({ within_s: 3 }) : undefined,
-      6000,
-    );
-  const told = await own('drain');
+  const told = await own(s, 'drain');
   assert.ok(told.ok && told.value.status === 200);
   await until('it is gone', async () => (await running(s, 'req-000001')) === 0);
   await pause(4000);
   assert.equal(await running(s, 'req-000001'), 0);
-  const back = await own('undrain');
+  const back = await own(s, 'undrain');
   assert.ok(back.ok && back.value.status === 200);
   await until('it runs again', async () => (await running(s, 'req-000001')) === 1, 40_000);
   process.kill(p.pid!, 'SIGTERM');
 });
 
+test('a drain goes on after a power cut in the middle of it', async () => {
+  const s = makeSite(18790);
+  const first = startProcess(s);
+  await untilUp(s);
+  assert.equal(await submit(s, job(s, 1, 'daemon', 1, 1000)), 201);
+  await until('it runs', async () => (await running(s, 'req-000001')) === 1);
+  const told = await own(s, 'drain', 6);
+  assert.ok(told.ok && told.value.status === 200);
+  cut(s, first, true);
+  const again = startProcess(s);
+  await untilUp(s);
+  const claims = (): { returning: boolean }[] =>
+    (JSON.parse(readFileSync(join(s.data, 'provider.json'), 'utf8')) as { claims: { returning: boolean }[] })
+      .claims;
+  await until('the machine is let go', () => Promise.resolve(claims().length === 0), 30_000);
+  await pause(1500);
+  assert.equal(claims().length, 0, 'and nobody claims it');
+  assert.equal((await running(s, 'req-000001')) > 0, false);
+  process.kill(again.pid!, 'SIGTERM');
+});
+
 test('a damaged state is refused, with what was found', async () => {
   const s = makeSite(18780);
   const p = startProcess(s);
--- a/test/console.test.ts
+++ b/test/console.test.ts
@@ -99,7 +99,7 @@
   const p: Picture = {
     member: 'n',
     storeOk: false,
-    counts: { jobs: 1, machines: 1 },
+    total: { jobs: 1, machines: 1, running: 1, waiting: 0, assumed: 1 },
     jobs: [j],
     machines: [machine],
     ends: [],
@@ -111,7 +111,7 @@
   assert.match(machineLines(p).join(), /assumed since 40s/);
   assert.match(whereLines(p).join(), /1\/0 m-1 running 90s \(assumed\)/);
   assert.match(jobLines(p).join(), /1 assumed/);
-  const many = { ...p, jobs: Array.from({ length: 300 }, () => j) };
+  const many = { ...p, total: { ...p.total, jobs: 300 }, jobs: Array.from({ length: 200 }, () => j) };
   assert.ok(bytes(jobLines(many)) < 900);
   assert.match(jobLines(many).at(-1)!, /287 more jobs/);
 });
--- a/test/measure/state-filler.ts
+++ b/test/measure/state-filler.ts
@@ -1,19 +1,10 @@
 import { F, Paths } from '../../src/protocol/wire.js';
 import { encode } from '../../src/protocol/codec.js';
-import { openStorage, StateService } from '../../src/state/index.js';
-import { systemClock } from '../../src/transport/clock.js';
-import { silentLog } from '../../src/transport/log.js';
-import { Metrics } from '../../src/transport/metrics.js';
+import { openState } from '../state-server.js';
 
 /** Writes until the disk refuses, and prints how much was promised before. Started by a test under a limit on file sizes. */
 const folder = process.argv[2]!;
-const service = await StateService.open({
-  clock: systemClock,
-  log: silentLog,
-  metrics: new Metrics(),
-  limits: { rps: 1e6, writeRps: 1e6, txnOps: 12, valueKb: 16 },
-  open: () => openStorage(folder),
-});
+const service = await openState(folder);
 const txn = service.routes.find((r) => r.path === Paths.txn)!;
 let committed = 0;
 let refused = 0;
--- a/test/measure/state.ts
+++ b/test/measure/state.ts
@@ -2,22 +2,10 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { encode } from '../../src/protocol/codec.js';
-import { encodeError } from '../../src/protocol/jobs.js';
 import { F, Paths } from '../../src/protocol/wire.js';
-import {
-  Book,
-  Names,
-  openStorage,
-  packHead,
-  packKept,
-  StateService,
-  type Write,
-} from '../../src/state/index.js';
-import { systemClock } from '../../src/transport/clock.js';
+import { Book, Names, openStorage, packHead, packKept, type Write } from '../../src/state/index.js';
+import { serveState, type StateServer } from '../state-server.js';
 import { netHttpClient } from '../../src/transport/http-client.js';
-import { serveHttp } from '../../src/transport/http-server.js';
-import { silentLog } from '../../src/transport/log.js';
-import { Metrics } from '../../src/transport/metrics.js';
 
 /** The durable state service on this machine's disk: `npm run measure:state -- [keys]`. */
 const most = Number(process.argv[2] ?? 1_000_000);
@@ -43,23 +31,6 @@
 const rate = fsyncs / fsyncS;
 say(`the disk's own: ${Math.round(rate)} writes of 600 bytes with fsync a second`);
 
-async function start(place: string) {
-  const service = await StateService.open({
-    clock: systemClock,
-    log: silentLog,
-    metrics: new Metrics(),
-    limits: { rps: 1e9, writeRps: 1e9, txnOps: 12, valueKb: 16 },
-    open: () => openStorage(place),
-  });
-  const server = await serveHttp('127.0.0.1:0', service.routes, {
-    maxBody: 65_536,
-    contentType: 'application/cbor',
-    errorBody: encodeError,
-    maxConnections: 200,
-  });
-  return { service, server, at: `127.0.0.1:${server.port}` };
-}
-
 const value = { text: 'x'.repeat(200) };
 async function load(clients: number, n: number, ask: (i: number) => Promise<void>): Promise<number> {
   let next = 0;
@@ -80,15 +51,14 @@
     if (!r.ok || r.value.status !== 200) throw new Error('refused');
   };
 
-const small = await start(join(folder, 'small'));
+const small = await serveState(join(folder, 'small'));
 for (const clients of [1, 8, 32]) {
-  const perS = await load(clients, clients === 1 ? 1500 : 6000, writeOne(small.at));
+  const perS = await load(clients, clients === 1 ? 1500 : 6000, writeOne(small.address));
   say(
     `${clients} clients: ${Math.round(perS)} synced transactions a second, ${(perS / rate).toFixed(2)} of the disk's fsyncs`,
   );
 }
-small.server.close();
-await small.service.close();
+await small.close();
 
 for (const keys of [most / 100, most / 10, most]) {
   const place = join(folder, `k${keys}`);
@@ -106,11 +76,11 @@
   batch.push({ name: Names.head, bytes: packHead({ ...book.head, revision: 1, forgotten: 1, keys }) });
   await storage.write(batch);
   await storage.close();
-  let opened: Awaited<ReturnType<typeof start>> | undefined;
+  let opened: StateServer | undefined;
   const openS = await seconds(async () => {
-    opened = await start(place);
+    opened = await serveState(place);
   });
-  const { server, service, at } = opened!;
+  const at = opened!.address;
   const reads = await load(32, 6000, async () => {
     const key = `key/${String(Math.floor(Math.random() * keys)).padStart(9, '0')}`;
     const r = await http.call(at, 'GET', `${Paths.keys}/${key}`, undefined, 20_000);
@@ -121,8 +91,7 @@
   say(
     `${keys} keys: open in ${openS.toFixed(2)} s, ${Math.round(reads)} reads and ${Math.round(writes)} writes a second, ${rss} MB with the load generator`,
   );
-  server.close();
-  await service.close();
+  await opened!.close();
 }
 rmSync(folder, { recursive: true, force: true });
 process.exit(0);
--- a/test/state.test.ts
+++ b/test/state.test.ts
@@ -15,23 +15,18 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { encodeError } from '../src/protocol/jobs.js';
 import { F, Paths } from '../src/protocol/wire.js';
 import {
   Book,
   openStorage,
   restoreSnapshot,
-  StateService,
   takeSnapshot,
   verifyFolder,
   type Storage,
 } from '../src/state/index.js';
-import { systemClock } from '../src/transport/clock.js';
 import { netHttpClient } from '../src/transport/http-client.js';
-import { serveHttp } from '../src/transport/http-server.js';
-import { silentLog } from '../src/transport/log.js';
-import { Metrics } from '../src/transport/metrics.js';
 import { World } from './standin/clock.js';
+import { openState, serveState } from './state-server.js';
 import { StandInStore } from './standin/store.js';
 import {
   at,
@@ -51,47 +46,24 @@
 const folderOf = (): string => mkdtempSync(join(tmpdir(), 'gorseyoke-state-'));
 
 interface Running extends Probe {
-  readonly service: StateService;
   close(): Promise<void>;
 }
 
-async function start(folder: string, open = (): Promise<Storage> => openStorage(folder)): Promise<Running> {
-  const service = await StateService.open({
-    clock: systemClock,
-    log: silentLog,
-    metrics: new Metrics(),
-    limits: { ...LIMITS, rps: 20_000, writeRps: 20_000 },
-    open,
-  });
-  const server = await serveHttp('127.0.0.1:0', service.routes, {
-    maxBody: 64 * 1024,
-    contentType: TYPE,
-    errorBody: encodeError,
-    maxConnections: 100,
-  });
+async function start(folder: string, open?: () => Promise<Storage>): Promise<Running> {
+  const server = await serveState(folder, open);
   const raw = async (method: string, path: string, bytes: Uint8Array) => {
-    const r = await http.call(
-      `127.0.0.1:${server.port}`,
-      method,
-      path,
-      bytes.length > 0 ? bytes : undefined,
-      30_000,
-    );
+    const r = await http.call(server.address, method, path, bytes.length > 0 ? bytes : undefined, 30_000);
     assert.ok(r.ok, r.ok ? '' : r.error.why);
     return r.value;
   };
   return {
-    service,
     call: async (method, path, body) => {
       const r = await raw(method, path, bytesOf(body));
       return { status: r.status, value: parse(r.body) };
     },
     raw: async (method, path, bytes) => (await raw(method, path, bytes)).status,
     sleep: (ms) => new Promise((resolve) => setTimeout(resolve, ms)),
-    async close() {
-      server.close();
-      await service.close();
-    },
+    close: () => server.close(),
   };
 }
 
@@ -144,13 +116,7 @@
 
 test('rates over the limits are refused at once, with the time to come back', async () => {
   const folder = folderOf();
-  const service = await StateService.open({
-    clock: systemClock,
-    log: silentLog,
-    metrics: new Metrics(),
-    limits: { ...LIMITS, rps: 20, writeRps: 10 },
-    open: () => openStorage(folder),
-  });
+  const service = await openState(folder, { rps: 20, writeRps: 10 });
   const txn = service.routes.find((r) => r.path === Paths.txn)!;
   const statuses: number[] = [];
   for (let i = 0; i < 15; i++) {
