Front door: users told to come back one after the other, by what was taken lately

Cause: a refused submission was told to come back in a second, so all refused came back together; with 800 jobs at once at 20 changes a second dozens of users ran out of their minute on the stand-in, while newer jobs were taken by luck. Change: Retry-After spread over the rate found lately, who tried longest first in the queue, smaller transactions after a refusal. The stand-in's users obey Retry-After now.

--- a/src/bookkeeping/store.ts
+++ b/src/bookkeeping/store.ts
@@ -34,6 +34,8 @@
 export interface StoreFailure {
   readonly kind: 'unavailable' | 'unknown' | 'gone' | 'refused';
   readonly why: string;
+  /** The service refused it for its rate. */
+  readonly throttled?: boolean;
 }
 
 export type TxnOutcome =
@@ -94,7 +96,7 @@
     if (status === 503) this.failures++;
     if (status === 429 || status === 503) {
       this.log.debug('store-refused', { path, status });
-      return err({ kind: 'unavailable', why: `status ${status}` });
+      return err({ kind: 'unavailable', why: `status ${status}`, throttled: status === 429 });
     }
     this.failures = 0;
     if (sent > this.lastContact) this.lastContact = sent;
--- a/src/coordination/users/users.ts
+++ b/src/coordination/users/users.ts
@@ -28,6 +28,7 @@
 import type { Peers } from '../term/peers.js';
 import { later, refuse } from '../replies.js';
 import type { HeldState } from '../pipelines/showing.js';
+import { FrontDoor } from './front-door.js';
 import type { PipelineUsers } from '../pipelines/users.js';
 import { fitsType } from '../rounds/eligibility.js';
 import type { TypeBook } from '../fleet/types.js';
@@ -73,7 +74,14 @@
   /** Terminal states never change, so they are answered from memory. */
   private readonly ended = new Map<JobId, EndRecord>();
 
-  constructor(private readonly d: UsersDeps) {}
+  private readonly door: FrontDoor;
+  /** Accepts in one transaction. */
+  private most: number;
+
+  constructor(private readonly d: UsersDeps) {
+    this.most = d.settings.store.txnOps;
+    this.door = new FrontDoor(d.clock, d.settings.store.writeRps / 2 / (d.settings.peers.length + 1));
+  }
 
   private storeAway(): boolean {
     return this.d.attention.since(this.d.store.lastContact) > 4000;
@@ -119,6 +127,9 @@
     if (!fits(sealed, d.settings.store.valueKb)) return refuse(400, 'the submission is too large');
     return new Promise((answer) => {
       this.queue.push({ spec, sealed, answer });
+      // Who has tried longest goes first.
+      if (this.door.waiting > 0)
+        this.queue.sort((a, b) => this.door.since(a.spec.id) - this.door.since(b.spec.id));
       void this.flush();
     });
   }
@@ -140,14 +151,13 @@
 
   /** Accepts that come together share a transaction; the first doesn't wait for others. */
   private async flush(): Promise<void> {
-    const { d } = this;
     while (this.queue.length > 0 && this.flights < 2) {
       this.flights++;
       const batch: Pending[] = [];
       const seen = new Set<JobId>();
       const rest: Pending[] = [];
       for (const p of this.queue) {
-        if (batch.length < d.settings.store.txnOps && !seen.has(p.spec.id)) {
+        if (batch.length < this.most && !seen.has(p.spec.id)) {
           seen.add(p.spec.id);
           batch.push(p);
         } else rest.push(p);
@@ -174,10 +184,17 @@
     if (!outcome.ok) {
       d.log.info('not-accepted', { jobs: batch.length, why: outcome.error.why });
       // Even if the transaction comes later: the same id then finds its job accepted.
-      for (const p of batch) p.answer(later('the state service did not take it'));
+      const full = outcome.error.throttled === true;
+      // A transaction is refused whole: smaller ones find room where a large one doesn't.
+      if (full) this.most = Math.max(2, this.most >> 1);
+      for (const p of batch) {
+        p.answer(later('the state service did not take it', full ? this.door.refused(p.spec.id) : 1));
+      }
       return;
     }
     if (outcome.value.kind === 'committed') {
+      this.door.accepted(batch.map((p) => p.spec.id));
+      this.most = Math.min(d.settings.store.txnOps, this.most + 1);
       for (const p of batch) {
         d.log.info('job-accepted', { job: p.spec.id, class: p.spec.class });
         p.answer({ status: 201, body: encodeJobAnswer({ id: p.spec.id, state: 'queued' }) });
--- a/test/standin/scenario.ts
+++ b/test/standin/scenario.ts
@@ -15,6 +15,7 @@
  *     zones a b          type g4 gpus=4 boot=5      machine g4 a [spot]     team red 4 8
  *     machines 100 g4 a             (so many at once)     isolate zone:a hold 40
  *     submits 50 req-000100 red array tasks=8    (fifty jobs, numbered on; at one moment)
+ *     expect gave-up <= 0 | expect oldest-accept <= 50 | expect put-off <= 2000   (of submissions)
  *     expect event rooms-given-up >= 1            (log lines of the kind, over all nodes)
  *     mark store | expect requests since-mark <= 90
  *     set lease=10 cancel=25 report=1 capacity=3 nodes=3 seed=1
@@ -421,6 +422,9 @@
     const takes = u.events.get('term-taken') ?? 0;
     return takes <= Number(third) ? undefined : `the term was taken ${takes} times`;
   }
+  if (subject === 'gave-up') return u.gaveUp <= Number(third) ? undefined : `${u.gaveUp} users gave up`;
+  if (subject === 'oldest-accept')
+    return u.oldestAcceptS <= Number(third) ? undefined : `accepted only after ${u.oldestAcceptS} s`;
   if (subject === 'event') {
     const n = u.events.get(verb) ?? 0;
     const ok = third === '<=' ? n <= Number(bound) : n >= Number(bound);
--- a/test/standin/universe.ts
+++ b/test/standin/universe.ts
@@ -90,6 +90,12 @@
   readonly statuses = new Map<string, number>();
   /** Submissions that were answered, but neither taken nor found wrong. */
   putOff = 0;
+  /** What users were told to wait, by the job of their last answer. */
+  private readonly comeBackS = new Map<string, number>();
+  /** The longest that a job's user tried before it was taken. */
+  oldestAcceptS = 0;
+  /** Jobs whose users gave up. */
+  gaveUp = 0;
   /** How often each event was logged, by any node. */
   readonly events = new Map<string, number>();
   log: (member: string) => Log = () => ({
@@ -227,6 +233,8 @@
     const reply = await this.user.call(`${node}:80`, method, path, body, waitMs);
     if (!reply.ok) return undefined;
     const { status } = reply.value;
+    const later = reply.value.headers?.['retry-after'];
+    if (later !== undefined) this.comeBackS.set(job, Number(later));
     const answer = status === 200 || status === 201 ? this.read(reply.value) : undefined;
     const state = answer?.ok ? answer.value.state : undefined;
     this.rules.answered(job, status, state, what, asked);
@@ -335,14 +343,22 @@
     this.rules.submitted(spec);
     this.jobs.set(spec.id, { spec, runS, faulty, saved: 0 });
     const body = encodeSubmission(spec);
-    const until = this.world.now + 60_000;
+    const from = this.world.now;
+    const until = from + 60_000;
     for (;;) {
       const status = await this.ask('submit', spec.id, 'POST', Paths.jobs, body, 5000);
       if (status !== undefined) this.statuses.set(spec.id, status);
       if (status !== undefined && status >= 429) this.putOff++;
-      if (status === 200 || status === 201) return this.poll(spec.id);
+      if (status === 200 || status === 201) {
+        this.oldestAcceptS = Math.max(this.oldestAcceptS, (this.world.now - from) / 1000);
+        return this.poll(spec.id);
+      }
+      if (this.world.now > until) this.gaveUp++;
       if (status === 400 || status === 422 || this.world.now > until) return;
-      await this.world.sleep(1000);
+      // As users do: after a second, or as long as they are told to stay away.
+      const waitS = Math.min(30, this.comeBackS.get(spec.id) ?? 1);
+      this.comeBackS.delete(spec.id);
+      await this.world.sleep(Math.max(1000, waitS * 1000));
     }
   }
 
