--- a/src/coordination/sharing/reservations.ts
+++ b/src/coordination/sharing/reservations.ts
@@ -122,7 +122,11 @@
     const ratios = new Map<Job, number>();
     for (const job of v.blocked) {
       if (ratios.size >= MOST_LOOKED_AT) break;
-      if (this.all.has(job.id) || this.pausedUntil.has(job.id) || !needsRoomsKept(job.spec, v.types))
+      if (
+        this.all.has(job.id) ||
+        (this.pausedUntil.get(job.id) ?? 0) > v.now ||
+        !needsRoomsKept(job.spec, v.types)
+      )
         continue;
       const found = this.find(job, v, undefined);
       if (!found) continue;
--- a/test/sharing.test.ts
+++ b/test/sharing.test.ts
@@ -2,7 +2,22 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { fairParts } from '../src/coordination/sharing/shares.js';
+import { Estimates } from '../src/bookkeeping/estimates.js';
+import { Reservations } from '../src/coordination/sharing/reservations.js';
+import type {
+  Attempt,
+  JobId,
+  MachineId,
+  PlanId,
+  Session,
+  TaskIndex,
+  Term,
+  ZoneName,
+} from '../src/protocol/ids.js';
 import type { JobSpec } from '../src/protocol/jobs.js';
+import type { SteadyMs } from '../src/transport/clock.js';
+import { World, waitingCount, type Machine } from '../src/bookkeeping/world.js';
+import { addQueued, plainJob } from './standin/books.js';
 import { mean, playMix, type Mix, type MixClass } from './standin/mix.js';
 import { machineType, team } from './standin/universe.js';
 
@@ -17,6 +32,19 @@
   array: { kind: 'array', tasks: 20, cpus: 5, gpus: 1, memoryGb: 10 },
 };
 
+const NOW = 1000 as SteadyMs;
+
+/** Books with machines of four cards in zone a. */
+function bookOf(specs: readonly JobSpec[], machines: number): { world: World; all: Machine[] } {
+  const world = new World(1n as Term);
+  addQueued(world, specs);
+  const all = Array.from({ length: machines }, (_, i) => {
+    const m = world.addMachine(`m-${i}` as MachineId, BIG.name, 'a' as ZoneName, false, NOW, NOW);
+    return Object.assign(m, { state: 'up', trusted: true, session: 1n as Session });
+  });
+  return { world, all };
+}
+
 const mixOf = (classes: readonly MixClass[], f: Partial<Mix> = {}): Mix => ({
   types: [SMALL, BIG],
   machines: [8, 8],
@@ -84,3 +112,94 @@
     { seed: 3, numRuns: 12, endOnFailure: true },
   );
 });
+
+test('a job that waits is told the rule, and since when', () => {
+  const lines = new Set<string>();
+  const first = (text: RegExp): string | undefined => [...lines].find((l) => text.test(l));
+  playMix(
+    mixOf(
+      [
+        { name: 'whole', spec: { ...SHAPES['whole'], priority: 'high' }, runS: 60, rate: 0.05 },
+        { name: 'small', spec: { ...SHAPES['small'], priority: 'high' }, runS: 60, backlog: 60 },
+      ],
+      {
+        seconds: 200,
+        onSecond: (s, world, sharing) => {
+          for (const job of world.jobs.values()) {
+            if (waitingCount(job) === 0) continue;
+            for (const l of sharing.explain(job, (s * 1000) as SteadyMs)) lines.add(l);
+          }
+        },
+      },
+    ),
+  );
+  assert.ok(first(/^Rooms are kept for it since \d+ s in [ab]: m-\d+, m-\d+; .* free in \d+ s\.$/));
+  assert.ok(first(/machines are kept for gangs that waited longer, the first since \d+ s/));
+  assert.ok(first(/^Its class whole goes first since \d+ s: \d+ % of the machines/));
+  assert.ok(first(/^Others go first, having had less than their part: class whole/));
+});
+
+test('a kept machine that goes is replaced; where no zone has the rooms any more they are given up', () => {
+  const { world, all } = bookOf(
+    [
+      plainJob('req-000001' as JobId, { ...SHAPES['whole'], priority: 'high' }),
+      plainJob('req-000002' as JobId, { tasks: 100, cpus: 5, priority: 'high' }),
+    ],
+    3,
+  );
+  const [gang, small] = [...world.jobs.values()];
+  all.forEach((m, i) => {
+    const p = world.place(small!, i as TaskIndex, 1n as Attempt, m, 1n as Session, 'p' as PlanId, NOW);
+    p.runningSince = NOW;
+  });
+  const reservations = new Reservations();
+  const update = (now: SteadyMs): string[] =>
+    reservations
+      .update({
+        now,
+        world,
+        types: new Map([[BIG.name, BIG]]),
+        estimates: new Estimates(),
+        usable: (m) => m.state === 'up',
+        blocked: [gang!],
+        mayStop: () => false,
+        most: () => 1,
+        mostShare: 0.25,
+      })
+      .map((e) => e.what);
+  assert.deepEqual(update(NOW), ['kept']);
+  const [kept] = [...reservations.kept.keys()];
+  world.removeMachine(world.machines.get(kept!)!, NOW);
+  assert.deepEqual(update(NOW), ['moved']);
+  assert.equal(reservations.kept.size, 2);
+  assert.ok(!reservations.kept.has(kept!));
+  world.removeMachine(world.machines.get([...reservations.kept.keys()][0]!)!, NOW);
+  assert.deepEqual(update(NOW), ['given up']);
+  assert.equal(reservations.kept.size, 0);
+});
+
+test('a reservation ends with its time, with its job and with its rooms', () => {
+  const { world, all } = bookOf([plainJob('req-000001' as JobId, { ...SHAPES['whole'] })], 2);
+  const [gang] = [...world.jobs.values()];
+  const reservations = new Reservations();
+  const view = (now: number): Parameters<Reservations['update']>[0] => ({
+    now: now as SteadyMs,
+    world,
+    types: new Map([[BIG.name, BIG]]),
+    estimates: new Estimates(),
+    usable: () => true,
+    blocked: gang!.placements.size > 0 ? [] : [gang!],
+    mayStop: () => false,
+    most: () => 1,
+    mostShare: 0.25,
+  });
+  const at = (now: number): string[] =>
+    reservations.update(view(now)).map((e) => ('why' in e ? `${e.what}: ${e.why}` : e.what));
+  assert.deepEqual(at(1000), ['kept']);
+  // Its rooms are free, and yet it isn't placed: others may have them for a while.
+  assert.deepEqual(at(40_000), ['given up: its rooms took too long to become free']);
+  assert.deepEqual(at(50_000), []);
+  assert.deepEqual(at(61_000), ['kept']);
+  world.place(gang!, 0 as TaskIndex, 1n as Attempt, all[0]!, 1n as Session, 'p' as PlanId, NOW);
+  assert.deepEqual(at(62_000), ['over: it has its rooms']);
+});
