--- a/src/coordination/sharing/index.ts
+++ b/src/coordination/sharing/index.ts
@@ -7,7 +7,6 @@
 import type { Estimates } from '../../bookkeeping/estimates.js';
 import type { Job, Machine } from '../../bookkeeping/world.js';
 import type { Unplaced } from '../rounds/snapshot.js';
-import { jobOrder, preemptible } from '../rounds/order.js';
 import { PATIENT_S } from '../rounds/snapshot.js';
 import type { SharingWorld } from '../views.js';
 import { explainSharing } from './explain.js';
@@ -50,6 +49,7 @@
 }
 
 const LOOK_MS = 500;
+const KEEP_MS = 1000;
 /** Rooms are kept for a gang of a class that is owed nothing after so many times the time in which it should have started. */
 const KEEP_AFTER = 1;
 /** Gangs of an owed class for which rooms may be kept at the same time. */
@@ -60,6 +60,7 @@
   private readonly shares: Shares;
   private readonly reservations = new Reservations();
   private lookedAt = -Infinity;
+  private keptAt = -Infinity;
 
   constructor(private readonly d: SharingDeps) {
     this.shares = new Shares(d.startAims);
@@ -74,17 +75,18 @@
     for (const p of this.shares.parties.values()) {
       if ((before.get(p.key) ?? '') !== stateOf(p)) this.logParty(p);
     }
-    if (this.d.operator.keepRooms <= 0) return;
+    if (this.d.operator.keepRooms <= 0 || v.now - this.keptAt < KEEP_MS) return;
+    this.keptAt = v.now;
     const blocked = v.unplaced
       .filter(
         (u) => u.reason === 'no room' && u.job.spec.kind !== 'service' && this.waitedEnough(u.job, v.now),
       )
       .map((u) => u.job);
-    const order = jobOrder(v.within);
     const events = this.reservations.update({
       ...v,
       blocked,
-      mayStop: (p, job) => preemptible(p, job, v.within, order),
+      // As the plain order has it, of what is ranked behind: what is within its guarantee only for what is, too.
+      mayStop: (p, job) => v.within.has(job.id) || !v.within.has(p.job.id),
       most: (job) => (this.claimOf(job) > 0 ? KEPT_OF_OWED : 1),
       mostShare: this.d.operator.keepRooms,
     });
--- a/src/coordination/sharing/reservations.ts
+++ b/src/coordination/sharing/reservations.ts
@@ -1,7 +1,7 @@
 import { plus, type SteadyMs } from '../../transport/clock.js';
 import type { MachineType } from '../../protocol/cloud.js';
 import type { JobId, MachineId, TypeName, ZoneName } from '../../protocol/ids.js';
-import type { JobSpec } from '../../protocol/jobs.js';
+import { priorityRank, type JobSpec } from '../../protocol/jobs.js';
 import type { Estimates } from '../../bookkeeping/estimates.js';
 import { waitingCount, type Job, type Machine, type Placement } from '../../bookkeeping/world.js';
 import { fitsType } from '../rounds/eligibility.js';
@@ -26,6 +26,8 @@
   readyAt: SteadyMs;
   /** By then it has its rooms, or gives them up. */
   readonly endsAt: SteadyMs;
+  /** When all machines were last looked at for it. */
+  foundAt: SteadyMs;
 }
 
 export type ReservationEvent =
@@ -43,7 +45,7 @@
   readonly usable: (m: Machine) => boolean;
   /** Work that found no room and has waited long enough, in the order of the round. */
   readonly blocked: readonly Job[];
-  /** Whether the one may be stopped for the other, by rank and guarantee. */
+  /** Whether the one, of lower rank, may be stopped for the other. Asked for every task of every machine that is looked at. */
   readonly mayStop: (p: Placement, job: Job) => boolean;
   /** How many reservations at a time the job's class may have. */
   readonly most: (job: Job) => number;
@@ -58,8 +60,10 @@
 /** Rooms that it has count as free that much sooner: else it would go from zone to zone with every estimate. */
 const STAY = 0.6;
 
-/** Blocked jobs that are compared each time. */
-const MOST_LOOKED_AT = 16;
+/** Blocked jobs that are compared each time: each looks at all machines it may run on. */
+const MOST_LOOKED_AT = 4;
+/** How often a reservation looks whether other machines would be free sooner. */
+const REFIND_MS = 4000;
 /** Rooms that are free now cost this much: a gang has to be placed, fetch and start. */
 const LEAST_COST_S = 10;
 
@@ -78,6 +82,7 @@
 
   update(v: ReservationView): ReservationEvent[] {
     const events: ReservationEvent[] = [];
+    this.endings.clear();
     for (const r of this.all.values()) {
       const over = this.whyOver(r, v);
       if (over !== undefined) {
@@ -85,7 +90,7 @@
         events.push({ what: 'over', on: r, why: over });
         continue;
       }
-      const found = v.now > r.endsAt ? undefined : this.find(r.job, v, r);
+      const found = v.now > r.endsAt ? undefined : (this.stays(r, v) ?? this.find(r.job, v, r));
       if (!found) {
         this.all.delete(r.job.id);
         this.pausedUntil.set(r.job.id, plus(v.now, PAUSE_MS));
@@ -98,7 +103,7 @@
       Object.assign(r, found);
       if (moved) events.push({ what: 'moved', on: r });
     }
-    for (const job of this.byRatio(v)) this.consider(job, v, events);
+    for (const [job, found] of this.byRatio(v)) this.consider(job, found, v, events);
     for (const [id, until] of this.pausedUntil) if (until <= v.now) this.pausedUntil.delete(id);
     this.kept.clear();
     for (const r of this.all.values()) {
@@ -118,10 +123,16 @@
    * Who has waited longest for what it costs to keep its rooms: cards and time. In the order of the round alone, gangs of
    * sixteen machines had all that may be kept, for minutes, and dozens of smaller ones waited behind them.
    */
-  private byRatio(v: ReservationView): Job[] {
+  private byRatio(v: ReservationView): [Job, Found][] {
     const ratios = new Map<Job, number>();
+    const places = new Map<Job, Found>();
+    const ofClass = new Map<string, number>();
+    for (const r of this.all.values())
+      ofClass.set(r.job.spec.class, (ofClass.get(r.job.spec.class) ?? 0) + 1);
+    if (this.all.size > 0 && this.share([], v) >= v.mostShare) return [];
     for (const job of v.blocked) {
       if (ratios.size >= MOST_LOOKED_AT) break;
+      if ((ofClass.get(job.spec.class) ?? 0) >= v.most(job)) continue;
       if (
         this.all.has(job.id) ||
         (this.pausedUntil.get(job.id) ?? 0) > v.now ||
@@ -131,16 +142,19 @@
       const found = this.find(job, v, undefined);
       if (!found) continue;
       const costS = (found.readyAt - v.now) / 1000 + LEAST_COST_S;
+      places.set(job, found);
       ratios.set(job, (v.now - job.acceptedAt) / 1000 / (costS * found.machines.length));
     }
-    return [...ratios.keys()].sort((a, b) => ratios.get(b)! - ratios.get(a)!);
+    return [...places].sort(([a], [b]) => ratios.get(b)! - ratios.get(a)!);
   }
 
-  private consider(job: Job, v: ReservationView, events: ReservationEvent[]): void {
+  private consider(job: Job, place: Found, v: ReservationView, events: ReservationEvent[]): void {
     let ofClass = 0;
     for (const r of this.all.values()) if (r.job.spec.class === job.spec.class) ofClass++;
     if (ofClass >= v.most(job)) return;
-    const found = this.find(job, v, undefined);
+    // Those before it in this turn may have taken some of the same machines.
+    const free = place.machines.every((m) => !this.isKept(m));
+    const found = free ? place : this.find(job, v, undefined);
     // The first one always: on a site of few machines a single gang may need more than that.
     if (!found || (this.all.size > 0 && this.share(found.machines, v) > v.mostShare)) return;
     const expected = found.readyAt - v.now;
@@ -150,6 +164,26 @@
     events.push({ what: 'kept', on: r });
   }
 
+  /** Where it is, while nothing happened to its machines and the last look at all others is recent. */
+  private stays(r: Reservation, v: ReservationView): Found | undefined {
+    if (v.now - r.foundAt > REFIND_MS || !r.machines.every((m) => v.usable(m))) return undefined;
+    const times: number[] = [];
+    for (const m of r.machines) {
+      const type = v.types.get(m.type);
+      if (!type || !mayRunOn(r.job, m, type, v.now)) return undefined;
+      times.push(...this.readyTimes(r.job, m, type, v));
+    }
+    const wanted = roomsOf(r.job.spec);
+    if (times.length < wanted) return undefined;
+    const readyAt = times.sort((a, b) => a - b)[wanted - 1] as SteadyMs;
+    return { zone: r.zone, machines: r.machines, readyAt, foundAt: r.foundAt };
+  }
+
+  private isKept(m: Machine): boolean {
+    for (const r of this.all.values()) if (r.machines.includes(m)) return true;
+    return false;
+  }
+
   /** How much of all machines would be kept, those among them. */
   private share(more: readonly Machine[], v: ReservationView): number {
     const of = (m: Machine): number => units(v.types.get(m.type) ?? { gpus: 0, cpus: 0 });
@@ -162,11 +196,7 @@
   }
 
   /** The rooms that will be free soonest: all in one zone where the job asks for that. */
-  private find(
-    job: Job,
-    v: ReservationView,
-    has: Reservation | undefined,
-  ): Pick<Reservation, 'zone' | 'machines' | 'readyAt'> | undefined {
+  private find(job: Job, v: ReservationView, has: Reservation | undefined): Found | undefined {
     const { spec } = job;
     const wanted = roomsOf(spec);
     const slots = new Map<ZoneName | undefined, Slot[]>();
@@ -178,7 +208,7 @@
       const zone = spec.oneZone ? m.zone : undefined;
       const list = slots.get(zone) ?? [];
       const stays = has?.machines.includes(m) ? STAY : 1;
-      for (const at of readyTimes(job, m, type, v)) {
+      for (const at of this.readyTimes(job, m, type, v)) {
         list.push({ machine: m, at, weighed: v.now + stays * (at - v.now) });
       }
       slots.set(zone, list);
@@ -193,8 +223,70 @@
     }
     if (!best) return undefined;
     const readyAt = Math.max(...best.taken.map((s) => s.at)) as SteadyMs;
-    return { zone: best.zone, machines: [...new Set(best.taken.map((s) => s.machine))], readyAt };
+    const machines = [...new Set(best.taken.map((s) => s.machine))];
+    return { zone: best.zone, machines, readyAt, foundAt: v.now };
   }
+
+  /** When what runs on a machine is expected to end, soonest first; looked up once for all jobs that ask. */
+  private readonly endings = new Map<Machine, readonly Ending[]>();
+
+  private endingsOf(m: Machine, type: MachineType, v: ReservationView): readonly Ending[] {
+    let all = this.endings.get(m);
+    if (!all) {
+      const found: Ending[] = [];
+      for (const p of m.placements) if (!p.ended) found.push({ at: endOf(p, type, v), p });
+      found.sort((a, b) => a.at - b.at);
+      this.endings.set(m, (all = found));
+    }
+    return all;
+  }
+
+  /** When the machine is expected to have room for one task of the job, for two, and so on. */
+  private readyTimes(job: Job, m: Machine, type: MachineType, v: ReservationView): number[] {
+    const { spec } = job;
+    const rank = priorityRank(spec.priority);
+    const free = {
+      cpus: type.cpus - m.used.cpus,
+      gpus: type.gpus - m.used.gpus,
+      memoryGb: type.memoryGb - m.used.memoryGb,
+    };
+    const times: number[] = [];
+    const take = (at: number): void => {
+      while (times.length < roomsOf(spec) && roomFor(free, spec)) {
+        free.cpus -= spec.cpus;
+        free.gpus -= spec.gpus;
+        free.memoryGb -= spec.memoryGb;
+        times.push(at);
+        // A task that takes nothing fits without end.
+        if (spec.cpus + spec.gpus + spec.memoryGb <= 0) break;
+      }
+    };
+    const give = (p: Placement): void => {
+      free.cpus += p.job.spec.cpus;
+      free.gpus += p.job.spec.gpus;
+      free.memoryGb += p.job.spec.memoryGb;
+    };
+    const endings = this.endingsOf(m, type, v);
+    // What may be stopped for the job is stopped when all its rooms are as good as there.
+    const stoppable = ({ p }: Ending): boolean =>
+      !p.stop && priorityRank(p.job.spec.priority) > rank && v.mayStop(p, job);
+    for (const e of endings) if (stoppable(e)) give(e.p);
+    take(v.now);
+    for (const e of endings) {
+      if (times.length >= roomsOf(spec) || e.at === Infinity) break;
+      if (stoppable(e)) continue;
+      give(e.p);
+      take(e.at);
+    }
+    return times;
+  }
+}
+
+type Found = Pick<Reservation, 'zone' | 'machines' | 'readyAt' | 'foundAt'>;
+
+interface Ending {
+  readonly at: number;
+  readonly p: Placement;
 }
 
 /** All of a gang's, or one of a large task that may run by itself. */
@@ -228,48 +320,10 @@
   return fitsType(spec, type) && (job.avoid.get(m.id) ?? 0) <= now;
 }
 
-/** When the machine is expected to have room for one task of the job, for two, and so on. */
-function readyTimes(job: Job, m: Machine, type: MachineType, v: ReservationView): number[] {
-  const { spec } = job;
-  const free = {
-    cpus: type.cpus - m.used.cpus,
-    gpus: type.gpus - m.used.gpus,
-    memoryGb: type.memoryGb - m.used.memoryGb,
-  };
-  const times: number[] = [];
-  const take = (at: number): void => {
-    while (times.length < roomsOf(spec) && roomFor(free, spec)) {
-      free.cpus -= spec.cpus;
-      free.gpus -= spec.gpus;
-      free.memoryGb -= spec.memoryGb;
-      times.push(at);
-      // A task that takes nothing fits without end.
-      if (spec.cpus + spec.gpus + spec.memoryGb <= 0) break;
-    }
-  };
-  take(v.now);
-  const ends: { at: number; p: Placement }[] = [];
-  for (const p of m.placements) {
-    if (p.ended) continue;
-    const at = endOf(p, job, type, v);
-    if (at < Infinity) ends.push({ at, p });
-  }
-  ends.sort((a, b) => a.at - b.at);
-  for (const { at, p } of ends) {
-    free.cpus += p.job.spec.cpus;
-    free.gpus += p.job.spec.gpus;
-    free.memoryGb += p.job.spec.memoryGb;
-    take(at);
-  }
-  return times;
-}
-
-function endOf(p: Placement, job: Job, type: MachineType, v: ReservationView): number {
+function endOf(p: Placement, type: MachineType, v: ReservationView): number {
   const { spec } = p.job;
   if (p.stop) return Math.max(v.now, p.stop.at + 1000 * p.stop.graceS);
   if (spec.kind === 'service') return Infinity;
-  // What may be stopped for the gang is stopped when all its rooms are as good as there.
-  if (v.mayStop(p, job)) return v.now;
   if (p.runningSince !== undefined)
     return v.now + 1000 * v.estimates.rest(spec, (v.now - p.runningSince) / 1000);
   const fetchS = p.fetchedSince === undefined ? spec.imageGb / Math.max(type.fetchGbPerS, 1e-3) : 0;
