--- a/src/coordination/rounds/planner.ts
+++ b/src/coordination/rounds/planner.ts
@@ -91,7 +91,7 @@
     if (!sharing) return;
     const claims = new Map<Job, number>();
     for (const job of waiting) {
-      const claim = isProduction(job) ? 0 : sharing.claimOf(job);
+      const claim = isProduction(job) || this.lending.grows(job) ? 0 : sharing.claimOf(job);
       if (claim > 0) claims.set(job, claim);
     }
     if (claims.size === 0) return;
--- a/src/coordination/sharing/shares.ts
+++ b/src/coordination/sharing/shares.ts
@@ -12,7 +12,7 @@
 export const WINDOW_S = 60;
 /** What a class of the highest waiting rank is owed, as a part of an equal share; classes ranked behind it are owed less. */
 const OWED = 0.6;
-const OWED_BEHIND = 0.5;
+const OWED_BEHIND = 0.3;
 /** Below so little of an equal share, after so long a wait, even a guarantee of others gives way. */
 const STARVING = 0.15;
 const STARVING_S = 2 * WINDOW_S;
