Arrays out of turn take the last warm room of a kind again

Cause: the rule that they may not was meant for bursts on a small site. In a full fleet each card that comes free is the last of its kind, so it took away image first among equal arrays altogether, which the test of that rule showed (warm 6 and cold 2 expected, found the other way). Ruled out in this form; what is to be kept free for training must be known from its arrivals.

--- a/src/coordination/rounds/planner.ts
+++ b/src/coordination/rounds/planner.ts
@@ -187,7 +187,7 @@
       if (!this.teams.underLimit(spec, 1)) return put('team limit', rest + kept);
       if (!this.roundHasRoom(job, 1)) return put('round full', rest + kept);
       const room = warmOnly
-        ? this.outOfTurn(job, this.picking.warmest(job, zones, images))
+        ? this.picking.warmest(job, zones, images)
         : this.picking.pick(job, zones, images);
       if (!room) {
         if (warmOnly) return;
@@ -208,14 +208,6 @@
     if (rest + kept > 0) put('round full', rest + kept);
   }
 
-  /**
-   * Room that an array would take before others that are due first: not the last of its kind. (Seen on the small calendars: in a
-   * burst, arrays held every warm room, and training that came a second later found none at all.)
-   */
-  private outOfTurn(job: Job, room: Room | undefined): Room | undefined {
-    return room && !this.rooms.isLastOfKind(room, job.spec) ? room : undefined;
-  }
-
   private planGang(job: Job, count: number, put: (reason: WaitReason, n: number) => void): void {
     const { spec } = job;
     // All or nothing: a new attempt starts when the old one is gone to the last task.
--- a/src/coordination/rounds/rooms.ts
+++ b/src/coordination/rounds/rooms.ts
@@ -132,11 +132,6 @@
     return best;
   }
 
-  /** Whether no other machine of its type, zone and price has room for one task: what takes it leaves none of the kind. */
-  isLastOfKind(room: Room, s: JobSpec): boolean {
-    return this.topOf(room.pool, s, (r) => r !== room) === undefined;
-  }
-
   private topOf(pool: Pool, s: JobSpec, allowed: (room: Room) => boolean): Room | undefined {
     const least = Math.max(0, Math.floor((pool.type.gpus > 0 ? s.gpus : s.cpus) + EPS));
     for (let b = pool.buckets.length - 1; b >= least; b--) {
