--- /dev/null
+++ b/test/scenarios-1.test.ts
@@ -0,0 +1,3 @@
+import { playScenarios } from './standin/play.js';
+
+playScenarios(0, 4);
--- /dev/null
+++ b/test/scenarios-2.test.ts
@@ -0,0 +1,3 @@
+import { playScenarios } from './standin/play.js';
+
+playScenarios(1, 4);
--- /dev/null
+++ b/test/scenarios-4.test.ts
@@ -0,0 +1,3 @@
+import { playScenarios } from './standin/play.js';
+
+playScenarios(3, 4);
--- a/test/search/schedule.ts
+++ b/test/search/schedule.ts
@@ -133,6 +133,15 @@
       after(LEAD + gap, second),
       after(LEAD + gap + 0.2, v.cancel),
     ]),
+  // Tasks of one job end in several waves, some of their ends late, and the leader changes in between.
+  fc
+    .tuple(fc.constantFrom(0.3, 0.6), fc.constantFrom(5, 7, 9, 12), fc.constantFrom(0.2, 1, 3), victim)
+    .map(([share, end, back, v]) => [
+      `submit ${v.id} red array tasks=40 run=3 gb=0`,
+      after(3, `late-writes ${share} 8`),
+      after(end, `crash holder ${back}`),
+      after(end + 6, `crash holder ${back}`),
+    ]),
   // A slow state service, refusals or restarts, and users who cancel.
   fc
     .tuple(
