--- a/test/standin/scenario.ts
+++ b/test/standin/scenario.ts
@@ -155,7 +155,7 @@
   machines: string[][];
   teams: TeamLimits[];
   set: Map<string, string>;
-  acts: { at: number; words: string[] }[];
+  acts: { at: number; words: string[]; line: string }[];
   hooks: string[][];
   expects: Expectation[];
   until: number;
@@ -190,7 +190,7 @@
       for (const [i, job] of idsFrom(id, Number(n)).entries())
         p.steps.push({ pipeline, name: `${name}-${i}`, words: [job, ...rest] });
     } else if (verb === 'set') for (const [k, v] of options(words)) p.set.set(k, v);
-    else if (verb === 'at') p.acts.push({ at: Number(words[0]), words: words.slice(1) });
+    else if (verb === 'at') p.acts.push({ at: Number(words[0]), words: words.slice(1), line });
     else if (verb === 'on') p.hooks.push(words);
     else if (verb === 'expect') p.expects.push({ words, line });
     else if (verb === 'until') p.until = Number(words[0]);
@@ -595,7 +595,7 @@
   for (const [type, zone, kind] of p.machines) u.cloud.create(type!, zone!, kind === 'spot', true);
   for (const a of p.acts) {
     const wrong = actFault(a.at, a.words, set('nodes', 3), p.until);
-    if (wrong !== undefined) throw new Error(`scenario: 'at ${a.at} ${a.words.join(' ')}': ${wrong}`);
+    if (wrong !== undefined) throw new Error(`scenario: '${a.line}': ${wrong}`);
     if (a.words[0] === 'hook') fault(a.words.slice(3));
   }
   for (const words of p.hooks) {
