--- a/src/bookkeeping/entities.ts
+++ b/src/bookkeeping/entities.ts
@@ -75,8 +75,8 @@
   notBefore: SteadyMs;
   /** Machines that refused or failed a task of this job lately. */
   readonly avoid: Map<MachineId, SteadyMs>;
-  /** Finish records of this job alone that exist in the store. */
-  readonly finishChunks: Set<number>;
+  /** Finish records of this job alone that exist in the store, and their marks. */
+  readonly finishChunks: Map<number, Mark>;
   /** Shared finish records in the store that mention this job. */
   readonly finishNotes: Set<StoreKey>;
   everStarted: boolean;
--- a/src/bookkeeping/world.ts
+++ b/src/bookkeeping/world.ts
@@ -107,7 +107,7 @@
       parked: false,
       notBefore: 0 as SteadyMs,
       avoid: new Map(),
-      finishChunks: new Set(),
+      finishChunks: new Map(),
       finishNotes: new Set(),
       everStarted: row.attempt > 0 || row.state === 'running',
     };
--- a/src/coordination/fleet/silence.ts
+++ b/src/coordination/fleet/silence.ts
@@ -85,8 +85,7 @@
               : Math.max(pastLease, leaseS * 3000);
         if (quiet(m) < patience) continue;
         if (m.placements.size === 0 && m.strangers.length === 0 && quiet(m) < 3 * fence) continue;
-        if (m.probedAt !== undefined && now - m.probedAt < LOOK_AGAIN_MS) continue;
-        m.probedAt = now;
+        if (!this.looksAt(m, now)) continue;
         looks--;
         void this.probe(m, quiet(m), patience);
       }
@@ -115,13 +114,19 @@
     let looks = most;
     for (const m of doubted) {
       if (looks <= 0) return;
-      if (m.probedAt !== undefined && now - m.probedAt < LOOK_AGAIN_MS) continue;
-      m.probedAt = now;
+      if (!this.looksAt(m, now)) continue;
       looks--;
       void this.probe(m, 0, Infinity);
     }
   }
 
+  /** Notes that the machine is looked at now, unless it was a moment ago. */
+  private looksAt(m: Machine, now: SteadyMs): boolean {
+    if (m.probedAt !== undefined && now - m.probedAt < LOOK_AGAIN_MS) return false;
+    m.probedAt = now;
+    return true;
+  }
+
   /**
    * Since when nothing can have come from a machine, or gone to it: one that doesn't hear loses all it has with its lease, like one
    * that can't be heard. One that ran work when this term began, and has said nothing since, was
--- a/src/coordination/orders/orders.ts
+++ b/src/coordination/orders/orders.ts
@@ -86,12 +86,7 @@
       // Possibly on its machine until that worker shows it, or obeys a higher token. Only this machine's
       // work is held back by it, so the term need not rise at once.
       for (const p of starts) if (p.order === 'flying' && !p.ended) world.float(p);
-      doubt(
-        { attention: d.attention, log: d.log, leaseS: d.settings.workers.leaseS },
-        machine,
-        d.clock.now(),
-        'an order was not answered',
-      );
+      doubt(commandContext(this.s, world), machine, d.clock.now(), 'an order was not answered');
       d.log.info('order-unanswered', { machine: machine.id, starts: starts.length, status });
       return;
     }
--- a/src/coordination/settling/settle.ts
+++ b/src/coordination/settling/settle.ts
@@ -1,4 +1,4 @@
-import type { JobId, Mark, PlanId, StoreKey } from '../../protocol/ids.js';
+import { NO_MARK, type JobId, type Mark, type PlanId, type StoreKey } from '../../protocol/ids.js';
 import type { Change, Condition } from '../../protocol/state.js';
 import {
   CHUNK,
@@ -230,7 +230,7 @@
       for (const p of all) settleIn(world, p);
       world.dropJob(job);
       world.noteEnded(job.id);
-      for (const c of job.finishChunks) world.garbage.add(Keys.finish(job.id, c));
+      for (const c of job.finishChunks.keys()) world.garbage.add(Keys.finish(job.id, c));
     },
   };
 }
@@ -314,16 +314,20 @@
   }
   if (chunks.size > room) return undefined;
   return {
-    conditions: [],
+    // Each is what it was when this was planned: a record that comes late never takes the place of a newer one, whatever fences it.
+    conditions: [...chunks.keys()].map((chunk) => ({
+      key: Keys.finish(job.id, chunk),
+      mark: job.finishChunks.get(chunk) ?? NO_MARK,
+    })),
     changes: [...chunks].map(([chunk, indices]) => ({
       op: 'put',
       key: Keys.finish(job.id, chunk),
       value: seal(job.done.chunkWith(chunk, indices)),
     })),
     placements: done.length,
-    apply() {
+    apply(mark) {
       settle();
-      for (const c of chunks.keys()) job.finishChunks.add(c);
+      for (const c of chunks.keys()) job.finishChunks.set(c, mark);
       for (const key of [...job.finishNotes]) world.unmention(job, key);
     },
   };
--- a/src/coordination/settling/settling.ts
+++ b/src/coordination/settling/settling.ts
@@ -2,7 +2,7 @@
 import { sleep } from '../../transport/clock.js';
 import { jitter } from '../../transport/random.js';
 import type { Mark } from '../../protocol/ids.js';
-import { Keys } from '../../bookkeeping/records.js';
+import { Keys, Prefix } from '../../bookkeeping/records.js';
 import type { FencedWriter } from '../fenced-writer.js';
 import type { Scope } from '../scope.js';
 import { nextSettlement } from './settle.js';
@@ -60,6 +60,10 @@
         if (outcome.error.kind === 'unknown') return d.term.rise('an end without an answer');
         await sleep(d.clock, jitter(d.random, 200));
       } else if (outcome.value.kind === 'conflict') {
+        // A finish record that isn't what this holder wrote or read: only the store can tell what is done.
+        const { failed } = outcome.value;
+        if (failed.some((k) => k.startsWith(Prefix.finish)) && !failed.includes(Keys.holder))
+          return d.term.rise('a finish record is not what it was');
         await this.writer.conflict(outcome.value.failed, 'settlement');
         await sleep(d.clock, 30);
       } else {
--- a/src/coordination/takeover/load.ts
+++ b/src/coordination/takeover/load.ts
@@ -83,11 +83,13 @@
     const [id, chunk] = e.key.slice(Prefix.finish.length).split('/') as [JobId, string];
     const job = world.jobs.get(id);
     const record = unseal(finishSchema, e.value);
-    if (!job) world.garbage.add(e.key);
-    else if (!record.ok) log.error('finish-record-unreadable', { key: e.key, why: record.error });
+    if (!job) {
+      // A row that can't be read is a job all the same.
+      if (!mirror.unreadable.has(id)) world.garbage.add(e.key);
+    } else if (!record.ok) log.error('finish-record-unreadable', { key: e.key, why: record.error });
     else {
       job.done.load(Number(chunk), record.value.bits);
-      job.finishChunks.add(Number(chunk));
+      job.finishChunks.set(Number(chunk), e.mark);
     }
   }
   const returned = new Map<PlanId, { tasks: Map<JobId, number[]>; notes: Set<StoreKey> }>();
--- a/test/search/faults.ts
+++ b/test/search/faults.ts
@@ -1,8 +1,11 @@
-import { World } from '../../src/bookkeeping/world.js';
+import { World, type Job } from '../../src/bookkeeping/world.js';
+import type { StoreKey } from '../../src/protocol/ids.js';
+import { err } from '../../src/transport/result.js';
 import { FencedWriter } from '../../src/coordination/fenced-writer.js';
 import { CancelledStops } from '../../src/coordination/orders/cancelled-stops.js';
 import { Answering, type AnsweringDeps } from '../../src/coordination/term/answering.js';
 import { Lone } from '../../src/coordination/term/lone.js';
+import { Settling } from '../../src/coordination/settling/settling.js';
 import { Holder } from '../../src/coordination/holder.js';
 
 /** Faults that the search must find, planted by changing the program's own pieces while it looks; nothing of them is in the program. */
@@ -75,6 +78,37 @@
       },
     );
   },
+  // Every job is made to keep finish records of its own, none is conditioned on, and an unclear one is taken for refused.
+  'a late finish record overwrites a newer one': (undo) => {
+    const { mention } = inside(World) as { mention: World['mention'] };
+    replace(undo, inside(World), 'mention', function (this: World, job: Job, key: StoreKey) {
+      mention.call(this, job, key);
+      for (let i = 0; i < 50; i++) job.finishNotes.add(`finished/none-${i}` as StoreKey);
+    });
+    const { write } = inside(FencedWriter) as { write: FencedWriter['write'] };
+    replace(
+      undo,
+      inside(FencedWriter),
+      'write',
+      async function (this: { readonly s: Holder }, ...a: Parameters<FencedWriter['write']>) {
+        const [, changes, rank] = a;
+        if (!changes.some((c) => c.key.startsWith('finish/'))) return write.apply(this as never, a);
+        const outcome = await this.s.d.store.txn([], changes, rank);
+        return !outcome.ok && outcome.error.kind === 'unknown'
+          ? err({ ...outcome.error, kind: 'unavailable' as const })
+          : outcome;
+      },
+    );
+  },
+  // Names of shared finish records come again, and what removes one has no condition.
+  'a removal comes after the key was made anew': (undo) => {
+    const { run } = inside(Settling) as { run: Settling['run'] };
+    replace(undo, inside(Settling), 'run', function (this: Settling) {
+      let n = 0;
+      Object.defineProperty(this, 'notes', { get: () => n % 4, set: () => n++ });
+      return run.call(this);
+    });
+  },
 };
 
 export async function withFault<T>(name: string, run: () => Promise<T>): Promise<T> {
