A case may put a proxy between two controllers (review)

Need: cuts between controllers were tried with proxies of the review's own. Change: one method of the review's site says where a controller finds another; no case overrides it. Measured: none; the cases are as before.

--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -175,7 +175,7 @@
           '[[members]]',
           `member = "${other.member}"`,
           `domain = "${other.zone}"`,
-          `endpoint = "${other.mesh}"`,
+          `endpoint = "${this.meshEndpoint(node, other)}"`,
         ]),
       '[services]',
       `cloud = "${this.cloud.address}"`,
@@ -214,6 +214,11 @@
     return `${lines.join('\n')}\n`;
   }
 
+  /** Where `node` finds `other`; a case may put a proxy between them. */
+  meshEndpoint(node, other) {
+    return other.mesh;
+  }
+
   startNode(node) {
     const file = join(this.folder, `${node.member}.toml`);
     writeFileSync(file, this.settings(node));
