--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -203,6 +203,14 @@
       `write_rps = ${real(state.writeRps)}`,
       `value_kb = ${real(state.valueKb)}`,
       `txn_ops = ${state.txnOps}`,
+      ...(figures.nextState
+        ? [
+            '[params.state.next]',
+            `write_rps = ${real(figures.nextState.writeRps)}`,
+            `value_kb = ${real(figures.nextState.valueKb)}`,
+            `txn_ops = ${figures.nextState.txnOps}`,
+          ]
+        : []),
       '[params.cloud]',
       `rps = ${real(cloud.rps)}`,
       `list_lag_s = ${real(cloud.listLagS)}`,
--- a/review/lib/state-service.mjs
+++ b/review/lib/state-service.mjs
@@ -22,7 +22,7 @@
     this.troubleOf = () => undefined;
     this.outage = false;
     this.refused = new Set();
-    this.counts = { requests: 0, throttled: 0, conflicts: 0, committed: 0 };
+    this.counts = { requests: 0, throttled: 0, conflicts: 0, committed: 0, rejected: 0 };
   }
 
   async start() {
@@ -185,6 +185,12 @@
   }
 
   transaction(data) {
+    const reply = this.apply(data);
+    if (reply.status === 400) this.counts.rejected++;
+    return reply;
+  }
+
+  apply(data) {
     const conditions = data.if ?? [];
     const changes = data.then ?? [];
     const { txnOps, valueKb } = this.limits;
