Controllers load the code of elastic jobs only where they are enabled

Elastic jobs are off unless the operators enable them, but their manager, target widths and reclamations were always loaded.

Change: the program loads elastic-job-manager.ts with a dynamic import where `(elastic 1)` is set, as it does for pipelines, and hands its constructor to the controller. The test also refuses static imports from coordination/elastic; its bound stays.

--- a/src/appliance/site.ts
+++ b/src/appliance/site.ts
@@ -4,6 +4,7 @@
 import { Agent, Images, Outputs, Processes, Tasks } from '../agent/index.js';
 import { Controller } from '../coordination/controller.js';
 import { createPipelineManager } from '../coordination/pipelines/pipeline-manager.js';
+import { createElasticJobManager } from '../coordination/elastic/elastic-job-manager.js';
 import { Provider } from '../provider/index.js';
 import { openStorage, StateService } from '../state/index.js';
 import { systemClock } from '../transport/clock.js';
@@ -227,6 +228,7 @@
     ),
     incarnation,
     pipelines: site.pipelines ? createPipelineManager : undefined,
+    createElasticJobManager: site.elastic ? createElasticJobManager : undefined,
   });
   controller.start();
   // Agents use the users' routes as well. Where these are served with TLS, a separate port serves them to agents without TLS.
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -21,6 +21,7 @@
 import { MachineTypeCatalog } from './fleet/machine-type-catalog.js';
 import { HeartbeatEndpoint } from './heartbeat-endpoint.js';
 import { Leader } from './leader/leader.js';
+import type { LeaderDependencies } from './leader/leader-context.js';
 import { OperatorApi } from './operator-api.js';
 import type { PipelineManager, PipelineManagerDependencies } from './pipelines/pipeline-manager.js';
 import { Readiness, StoreContact } from './readiness.js';
@@ -45,6 +46,8 @@
   readonly metrics: Metrics;
   /** Loaded by the caller where the operator enabled pipelines, and only there. */
   readonly pipelines?: ((dependencies: PipelineManagerDependencies) => PipelineManager) | undefined;
+  /** Loaded by the caller where the operator enabled elastic jobs, and only there. */
+  readonly createElasticJobManager?: LeaderDependencies['createElasticJobManager'];
   /** Differs each time the process starts. */
   readonly incarnation: number;
 }
@@ -264,6 +267,7 @@
         http,
         teams: this.teams,
         pipelines: this.pipelines,
+        createElasticJobManager: this.dependencies.createElasticJobManager,
         cancelled: this.cancelledJobs,
         unobeyedCancellationLimitMs: this.heartbeatAuthority.stalenessLimitMs ?? 0,
       },
--- a/src/coordination/elastic/elastic-job-manager.ts
+++ b/src/coordination/elastic/elastic-job-manager.ts
@@ -312,3 +312,8 @@
   const { checkpointS, saveS } = placement.job.spec;
   return checkpointS > 0 ? Math.min(ranS % checkpointS, saveS) : ranS;
 }
+
+export const createElasticJobManager = (
+  dependencies: ElasticDependencies,
+  cluster: ClusterState,
+): ElasticJobManager => new ElasticJobManager(dependencies, cluster);
--- a/src/coordination/leader/leader-context.ts
+++ b/src/coordination/leader/leader-context.ts
@@ -9,7 +9,7 @@
 import type { JobCache } from '../../storage/job-cache.js';
 import type { StoreClient } from '../../storage/store-client.js';
 import type { ClusterState } from '../../cluster/cluster-state.js';
-import type { ElasticJobManager } from '../elastic/elastic-job-manager.js';
+import type { ElasticDependencies, ElasticJobManager } from '../elastic/elastic-job-manager.js';
 import type { FleetServices } from '../fleet/fleet-manager.js';
 import type { FairSharePolicy } from '../fair-share/index.js';
 import type { PipelineManager } from '../pipelines/pipeline-manager.js';
@@ -33,6 +33,9 @@
   readonly unobeyedCancellationLimitMs: number;
   /** Present only where pipelines are enabled. */
   readonly pipelines?: PipelineManager | undefined;
+  /** Present only where elastic jobs are enabled. */
+  readonly createElasticJobManager?:
+    ((dependencies: ElasticDependencies, cluster: ClusterState) => ElasticJobManager) | undefined;
 }
 
 /**
--- a/src/coordination/leader/leader.ts
+++ b/src/coordination/leader/leader.ts
@@ -8,7 +8,7 @@
 import { GarbageCollector } from '../completion/garbage-collector.js';
 import { heartbeatContext } from '../heartbeats/heartbeat-context.js';
 import { handleHeartbeat } from '../heartbeats/heartbeat-handler.js';
-import { ElasticJobManager } from '../elastic/elastic-job-manager.js';
+import type { ElasticJobManager } from '../elastic/elastic-job-manager.js';
 import { FencedWriter } from './fenced-writer.js';
 import { JobRecordListener } from './job-record-listener.js';
 import { LeadershipWatchdog } from './leadership-watchdog.js';
@@ -193,12 +193,10 @@
 
   private startLoops(cluster: ClusterState): void {
     const { dependencies } = this;
-    if (dependencies.operator.elastic > 0) {
-      this.elastic = new ElasticJobManager(
-        { ...dependencies, types: () => dependencies.types.all() },
-        cluster,
-      );
-    }
+    this.elastic = dependencies.createElasticJobManager?.(
+      { ...dependencies, types: () => dependencies.types.all() },
+      cluster,
+    );
     const fleet = this.createFleetManager(cluster);
     this.fleet = fleet;
     const watchdog = this.createWatchdog(cluster, fleet);
--- a/src/main.ts
+++ b/src/main.ts
@@ -55,6 +55,10 @@
       operator.pipelines > 0
         ? (await import('./coordination/pipelines/pipeline-manager.js')).createPipelineManager
         : undefined,
+    createElasticJobManager:
+      operator.elastic > 0
+        ? (await import('./coordination/elastic/elastic-job-manager.js')).createElasticJobManager
+        : undefined,
     mesh: createTcpMesh(settings.meshListen, peers, systemClock),
     incarnation,
   });
--- a/test/served-path.test.ts
+++ b/test/served-path.test.ts
@@ -45,7 +45,7 @@
   return countTokens(source);
 }
 
-test('the served path loads nothing of the appliance, the console, the keys or the pipelines', () => {
+test('the served path loads nothing of the appliance, the console, the keys, the pipelines or elastic jobs', () => {
   const seen = new Map<string, Set<string>>();
   loadedFrom(join(root, 'main.ts'), seen);
   const files = [...seen.keys()].map((f) => f.slice(root.length + 1));
@@ -58,6 +58,7 @@
     'keys',
     'pipelines',
     'coordination/pipelines',
+    'coordination/elastic',
   ]) {
     assert.ok(existsSync(join(root, folder)), folder);
     assert.deepEqual(
--- a/test/simulator/simulated-cluster.ts
+++ b/test/simulator/simulated-cluster.ts
@@ -1,6 +1,7 @@
 import { Controller } from '../../src/coordination/controller.js';
 import type { MachineType } from '../../src/protocol/cloud.js';
 import type { Address, MemberName, ZoneName } from '../../src/protocol/ids.js';
+import { createElasticJobManager } from '../../src/coordination/elastic/elastic-job-manager.js';
 import { createPipelineManager } from '../../src/coordination/pipelines/pipeline-manager.js';
 import { defaultOperatorSettings, type OperatorSettings } from '../../src/protocol/operator-settings.js';
 import type { Settings, TeamLimits } from '../../src/protocol/settings.js';
@@ -203,6 +204,7 @@
       settings: this.settings(member),
       operator: { ...defaultOperatorSettings(), ...this.options.operator },
       pipelines: this.options.operator?.pipelines ? createPipelineManager : undefined,
+      createElasticJobManager: this.options.operator?.elastic ? createElasticJobManager : undefined,
       clock,
       random: seededRandom(this.options.seed * 31 + incarnation * 7 + Number(member.slice(1))),
       log: this.log(member),
