A cancellation beside a slow answer of the store no longer stops all completions

From then on the leader recorded no end of any task of any job: finished jobs were called running until the leader changed.

Cause: the completion writer completed a cancelled job as soon as the cluster state had no placement of it. While the commit of a plan has no answer, its placements are in the store and not yet in the cluster state. The record was removed, the late answer added placements to the removed job, and its second completion was refused for ever, together with the completions of all other jobs in the same transaction.

Fix: job-writes.ts states two invariants for all writers that name jobs. While a plan or a completion that names a job has no answer, no other of the two is sent. A condition that the store refused never holds again, so its job is set aside until its record is read again, and the others go on without waiting for the sync; this holds for completions, plans and status updates. A record that is gone although its job has not ended begins a new term. The simulated state service checks both invariants in every scenario (removed_unanswered, refused_again).

--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -36,6 +36,7 @@
   ResourceUsage,
   UnconfirmedCommand,
 } from './entities.js';
+export { isRecordOutdated, mayPlaceTasks, mayWriteJob } from './job-writes.js';
 export { failsEverywhere, teamUsageWithOrphans, waitingTaskCount, waitingTasks } from './counts.js';
 
 /** Changes of a job's record arrive within seconds of the job's completion, so remembering the last few thousand is enough. */
--- a/src/cluster/entities.ts
+++ b/src/cluster/entities.ts
@@ -69,6 +69,10 @@
   record: JobRecord;
   /** Mod revision of the record, for the conditions of transactions. */
   modRevision: ModRevision;
+  /** The transaction that names the job and has no answer yet: a plan with its tasks, or its completion (`job-writes.ts`). */
+  unansweredWrite: 'plan' | 'completion' | undefined;
+  /** Revision of its record that the store refused as a condition. */
+  refusedRevision: ModRevision | undefined;
   readonly done: CompletedTaskSet;
   readonly placements: Map<TaskIndex, Placement>;
   /** No waiting task has a lower index. */
--- a/src/cluster/new-entities.ts
+++ b/src/cluster/new-entities.ts
@@ -29,6 +29,8 @@
     spec: record.spec,
     record,
     modRevision,
+    unansweredWrite: undefined,
+    refusedRevision: undefined,
     done: new CompletedTaskSet(record.spec.tasks),
     placements: new Map(),
     waitingCursor: 0,
--- a/src/coordination/completion/completion-transaction.ts
+++ b/src/coordination/completion/completion-transaction.ts
@@ -40,6 +40,7 @@
     conditions: parts.flatMap((part) => part.conditions),
     changes,
     jobs,
+    completedJobs: parts.flatMap(({ completedJob }) => completedJob ?? []),
     placementCount,
     writesBatch,
     apply(modRevision) {
--- a/src/coordination/completion/completion-writer.ts
+++ b/src/coordination/completion/completion-writer.ts
@@ -6,8 +6,9 @@
 import { sleep } from '../../transport/clock.js';
 import { jitter } from '../../transport/random.js';
 import type { ModRevision } from '../../protocol/ids.js';
+import type { Job } from '../../cluster/cluster-state.js';
 import { Keys, Prefix } from '../../storage/records.js';
-import type { FencedWriter } from '../leader/fenced-writer.js';
+import { hasAnswer, type FencedWriter } from '../leader/fenced-writer.js';
 import type { LeaderContext } from '../leader/leader-context.js';
 import type { CompletionClusterState } from '../leader/cluster-state-views.js';
 import { nextCompletionTransaction } from './completion-transaction.js';
@@ -85,27 +86,32 @@
   /** Writes the transaction. Returns whether the loop continues: it does not if only a new term can read what the store holds. */
   private async commit(transaction: CompletionTransaction): Promise<boolean> {
     const { clock, random } = this.leader.dependencies;
-    const { conditions, changes } = transaction;
+    const { conditions, changes, completedJobs } = transaction;
+    for (const job of completedJobs) job.unansweredWrite = 'completion';
     const outcome = await this.writer.write(conditions, changes, RequestPriority.Completion);
     if (!this.leader.isActive()) return false;
+    if (hasAnswer(outcome)) for (const job of completedJobs) job.unansweredWrite = undefined;
     if (!outcome.ok) {
       if (outcome.error.kind === 'unknown') return this.restartTerm('a completion write got no reply');
       await sleep(clock, jitter(random, FAILURE_DELAY_MS));
       return true;
     }
-    if (outcome.value.kind === 'conflict') return this.handleConflict(outcome.value.failed);
+    if (outcome.value.kind === 'conflict') return this.handleConflict(outcome.value.failed, completedJobs);
     this.applyCommitted(transaction, outcome.value.revision as unknown as ModRevision);
     await sleep(clock, COMMIT_DELAY_MS);
     return true;
   }
 
-  private async handleConflict(failed: readonly string[]): Promise<boolean> {
+  private async handleConflict(failed: readonly string[], completedJobs: readonly Job[]): Promise<boolean> {
     const chunkChanged = failed.some((key) => key.startsWith(Prefix.completionChunk));
     // A completion record is not what this leader last wrote or read, so the completed tasks must be read from the store.
     if (chunkChanged && !failed.includes(Keys.leader)) {
       return this.restartTerm('a completion record is not what this leader last wrote or read');
     }
-    await this.writer.handleConflict(failed, 'completions');
+    const recordsRead = this.writer.handleConflict(failed, 'completions');
+    // Completed jobs whose records changed are set aside until these are read again; the other jobs need not wait for that.
+    const keysSetAside = new Set<string>(completedJobs.map((job) => Keys.job(job.id)));
+    if (!failed.every((key) => keysSetAside.has(key))) await recordsRead;
     await sleep(this.leader.dependencies.clock, CONFLICT_DELAY_MS);
     return true;
   }
--- a/src/coordination/completion/job-completion.ts
+++ b/src/coordination/completion/job-completion.ts
@@ -10,7 +10,7 @@
   TASKS_PER_COMPLETION_CHUNK,
   type FinishedJobRecord,
 } from '../../storage/records.js';
-import type { Job, Placement } from '../../cluster/cluster-state.js';
+import { mayWriteJob, type Job, type Placement } from '../../cluster/cluster-state.js';
 import type { CompletionClusterState } from '../leader/cluster-state-views.js';
 import type { CompletionBatch } from './completion-batch.js';
 import type { CompletionLimits, TransactionPart } from './transaction-part.js';
@@ -62,6 +62,7 @@
     job.done.count + newlyCompleted >= job.spec.tasks || isGangCompleted(job, newlyCompleted);
   const isCancelled = job.cancelledAt !== undefined;
   if (job.placements.size === placements.length && (allCompleted || isCancelled)) {
+    if (!mayWriteJob(job)) return undefined;
     if (maxChanges < JOB_COMPLETION_CHANGES + (limits.steps?.extraChangesFor(job) ?? 0)) return undefined;
     limits.steps?.recordJobCompletion(job, isCancelled ? 'cancelled' : 'done');
     return jobCompletionPart(cluster, job, placements, newlyCompleted);
@@ -108,6 +109,7 @@
       { op: 'put', key: Keys.finishedJob(job.id), value: seal(record) },
     ],
     placementCount: placements.length,
+    completedJob: job,
     apply() {
       for (const placement of placements) closePlacement(cluster, placement);
       cluster.removeJob(job);
--- a/src/coordination/completion/transaction-part.ts
+++ b/src/coordination/completion/transaction-part.ts
@@ -8,6 +8,8 @@
   readonly conditions: Condition[];
   readonly changes: Change[];
   readonly placementCount: number;
+  /** The job that it completes, and whose record it removes. */
+  readonly completedJob?: Job | undefined;
   /** Applies the part to the cluster state; `modRevision` is that of the keys it wrote. */
   readonly apply: (modRevision: ModRevision) => void;
 }
@@ -15,6 +17,8 @@
 /** The completions that are written together. */
 export interface CompletionTransaction extends TransactionPart {
   readonly jobs: readonly JobId[];
+  /** The jobs that it completes. */
+  readonly completedJobs: readonly Job[];
   /** Whether it writes a shared completion record. */
   readonly writesBatch: boolean;
 }
--- a/src/coordination/leader/fenced-writer.ts
+++ b/src/coordination/leader/fenced-writer.ts
@@ -18,6 +18,10 @@
 /** Keys named in the log of a conflict. */
 const MAX_LOGGED_KEYS = 3;
 
+/** Whether the store said what became of the transaction: otherwise it may be carried out later. */
+export const hasAnswer = (outcome: Result<TransactionOutcome, StoreFailure>): boolean =>
+  outcome.ok || outcome.error.kind !== 'unknown';
+
 /** What a fenced writer uses of its leader and of the controller. */
 export interface FencedWriterDependencies {
   readonly clock: Clock;
@@ -30,6 +34,8 @@
   readonly isActive: () => boolean;
   /** Called when a change may require a scheduling cycle or a completion commit. */
   readonly wake: () => void;
+  /** Called with each condition that the store refused: it never holds again. */
+  readonly onConditionRefused: (condition: Condition) => void;
   /** Called when the token of `leadership` was raised and the cluster state stays valid. */
   readonly onTokenRaised: () => void;
 }
@@ -65,7 +71,9 @@
       );
       // Removals of garbage and records of cached images may be applied late without harm; all other outcomes must be known.
       const harmless = priority === RequestPriority.GarbageCollection;
-      if (!outcome.ok && outcome.error.kind === 'unknown' && !harmless) this.hasUnknownOutcome = true;
+      if (!hasAnswer(outcome) && !harmless) this.hasUnknownOutcome = true;
+      if (outcome.ok && outcome.value.kind === 'conflict')
+        this.reportRefused(conditions, outcome.value.failed);
       return outcome;
     } finally {
       if (--this.writesInFlight === 0) this.onIdle?.();
@@ -94,6 +102,12 @@
     }
   }
 
+  private reportRefused(conditions: readonly Condition[], failedKeys: readonly string[]): void {
+    for (const condition of conditions) {
+      if (failedKeys.includes(condition.key)) this.dependencies.onConditionRefused(condition);
+    }
+  }
+
   /** Handles the rejection of a write: either another leader was elected, or a record changed and is read again. */
   async handleConflict(failedKeys: readonly string[], plan: string): Promise<void> {
     const { clock, random, log, jobCache, election, wake } = this.dependencies;
--- a/src/coordination/leader/job-record-listener.ts
+++ b/src/coordination/leader/job-record-listener.ts
@@ -1,9 +1,10 @@
 import type { Clock } from '../../transport/clock.js';
 import type { Log } from '../../transport/log.js';
 import type { JobId, ModRevision } from '../../protocol/ids.js';
+import type { Condition } from '../../protocol/state.js';
 import type { ClusterState, Job } from '../../cluster/cluster-state.js';
 import type { CachedJob } from '../../storage/job-cache.js';
-import { withMinimumGeneration } from '../../storage/records.js';
+import { jobIdOfKey, withMinimumGeneration } from '../../storage/records.js';
 import type { CommandDispatcher } from '../dispatch/command-dispatcher.js';
 import type { CancelledJobs } from '../election/cancelled-jobs.js';
 import { steadyTimeOf } from '../failover/load-cluster-state.js';
@@ -24,6 +25,8 @@
   readonly pipelines: Pick<PipelineManager, 'onJobRecordReceived'> | undefined;
   readonly isActive: () => boolean;
   readonly wake: () => void;
+  /** Begins a new term, which loads the cluster state from the store again. */
+  readonly restartTerm: (reason: string) => void;
 }
 
 /** Listens to the job cache on behalf of one term's leader. */
@@ -34,9 +37,11 @@
   onRecord(id: JobId, cached: CachedJob | undefined, modRevision: ModRevision): void {
     const { cluster, isActive } = this.dependencies;
     if (!isActive()) return;
-    // Only the leader removes records, after it has completed the job.
-    if (!cached) return;
     const job = cluster.jobs.get(id);
+    if (!cached) {
+      if (job) this.checkRemoval(job, modRevision);
+      return;
+    }
     if (job) this.update(job, cached, modRevision);
     else if (!cluster.endedJobs.has(id)) this.add(id, cached, modRevision);
   }
@@ -47,6 +52,20 @@
     if (job) this.cancel(job);
   }
 
+  /** Sets a job aside whose record the store refused as a condition, until the record is read again. */
+  onConditionRefused({ key, modRevision }: Condition): void {
+    const id = jobIdOfKey(key);
+    const job = id === undefined ? undefined : this.dependencies.cluster.jobs.get(id);
+    if (job?.modRevision === modRevision) job.refusedRevision = modRevision;
+  }
+
+  /** Only the leader removes records, with the completion of the job. Any other removal shows that the cluster state is wrong. */
+  private checkRemoval(job: Job, modRevision: ModRevision): void {
+    if (modRevision <= job.modRevision || job.unansweredWrite === 'completion') return;
+    this.dependencies.log.error('job-record-missing', { job: job.id });
+    this.dependencies.restartTerm('the record of a job that has not ended is gone');
+  }
+
   private add(id: JobId, { record }: CachedJob, modRevision: ModRevision): void {
     const { clock, log, cluster, cancelledJobs, pipelines, wake } = this.dependencies;
     const acceptedAt = steadyTimeOf(clock, record.acceptedAt);
--- a/src/coordination/leader/leader.ts
+++ b/src/coordination/leader/leader.ts
@@ -220,6 +220,7 @@
       leadership: this.leadership,
       isActive: () => this.isActive(),
       wake: () => this.wake(),
+      onConditionRefused: (condition) => this.recordListener?.onConditionRefused(condition),
       onTokenRaised: () => {
         if (this.cluster) this.cluster.term = this.leadership.term;
       },
@@ -237,6 +238,7 @@
       pipelines,
       isActive: () => this.isActive(),
       wake: () => this.wake(),
+      restartTerm: (reason) => void this.dependencies.election.restartTerm(reason),
     });
   }
 
--- a/src/coordination/scheduling/plan-committer.ts
+++ b/src/coordination/scheduling/plan-committer.ts
@@ -15,7 +15,7 @@
 import type { Job, Machine } from '../../cluster/cluster-state.js';
 import type { CommandDispatcher } from '../dispatch/command-dispatcher.js';
 import type { SchedulingClusterState } from '../leader/cluster-state-views.js';
-import type { FencedWriter } from '../leader/fenced-writer.js';
+import { hasAnswer, type FencedWriter } from '../leader/fenced-writer.js';
 import type { LeaderContext } from '../leader/leader-context.js';
 import { buildPlan } from './plan-builder.js';
 import type { PlannedTask } from './snapshot.js';
@@ -96,12 +96,14 @@
     const commit = this.prepare(plannedTasks);
     if (commit.jobs.length === 0) return 'nothing-to-commit';
     const { conditions, changes } = commit;
-    // A machine must not be returned as idle while tasks are being committed to it.
+    // Until the answer, the machines must not be returned as idle, and the jobs must not be completed.
     for (const machine of commit.epochs.keys()) machine.pendingCommits++;
+    for (const job of commit.jobs) job.unansweredWrite = 'plan';
     const sentAt = clock.now();
     const outcome = await writer.write(conditions, changes, RequestPriority.Scheduling, true);
     for (const machine of commit.epochs.keys()) machine.pendingCommits--;
     if (!context.isActive()) return 'abandoned';
+    if (hasAnswer(outcome)) for (const job of commit.jobs) job.unansweredWrite = undefined;
     if (!outcome.ok) return this.handleFailure(commit.id, outcome.error);
     if (outcome.value.kind === 'conflict') {
       await writer.handleConflict(outcome.value.failed, commit.id);
--- a/src/coordination/scheduling/planner.ts
+++ b/src/coordination/scheduling/planner.ts
@@ -1,6 +1,12 @@
 import type { JobId, MachineId, TaskIndex, ZoneName } from '../../protocol/ids.js';
 import type { FairShareGroupKey } from '../../cluster/fair-share-groups.js';
-import { failsEverywhere, waitingTaskCount, waitingTasks, type Job } from '../../cluster/cluster-state.js';
+import {
+  failsEverywhere,
+  mayPlaceTasks,
+  waitingTaskCount,
+  waitingTasks,
+  type Job,
+} from '../../cluster/cluster-state.js';
 import { isEligible, countTasksByZone } from './eligibility.js';
 import { Borrowing } from './borrowing.js';
 import { dueAt, isProduction, createQueueOrder } from './queue-order.js';
@@ -77,7 +83,7 @@
   run(): CyclePlan {
     const waiting: Job[] = [];
     for (const job of this.snapshot.cluster.jobs.values()) {
-      if (job.cancelledAt === undefined && waitingTaskCount(job) > 0) waiting.push(job);
+      if (mayPlaceTasks(job) && waitingTaskCount(job) > 0) waiting.push(job);
     }
     waiting.sort(this.queueOrder);
     // Elastic jobs grow beyond their minimum width only into capacity that no other job uses.
--- a/src/coordination/scheduling/scheduling-loop.ts
+++ b/src/coordination/scheduling/scheduling-loop.ts
@@ -1,7 +1,7 @@
 import { RequestPriority } from '../../transport/rate-limiter.js';
 import { sleep, type SteadyMs } from '../../transport/clock.js';
 import type { JobId } from '../../protocol/ids.js';
-import { waitingTaskCount, type Machine } from '../../cluster/cluster-state.js';
+import { mayPlaceTasks, waitingTaskCount, type Machine } from '../../cluster/cluster-state.js';
 import type { CommandDispatcher } from '../dispatch/command-dispatcher.js';
 import type { HeartbeatMonitor } from '../heartbeats/heartbeat-monitor.js';
 import type { SchedulingClusterState } from '../leader/cluster-state-views.js';
@@ -275,7 +275,7 @@
 
 function hasWaitingTasks(cluster: SchedulingClusterState): boolean {
   for (const job of cluster.jobs.values()) {
-    if (job.cancelledAt === undefined && waitingTaskCount(job) > 0) return true;
+    if (mayPlaceTasks(job) && waitingTaskCount(job) > 0) return true;
   }
   return false;
 }
--- a/src/coordination/scheduling/status-writer.ts
+++ b/src/coordination/scheduling/status-writer.ts
@@ -2,7 +2,7 @@
 import { sleep, type SteadyMs } from '../../transport/clock.js';
 import type { ModRevision } from '../../protocol/ids.js';
 import { Keys, seal, withMinimumGeneration, type JobRecord } from '../../storage/records.js';
-import type { Job } from '../../cluster/cluster-state.js';
+import { mayWriteJob, type Job } from '../../cluster/cluster-state.js';
 import type { SchedulingClusterState } from '../leader/cluster-state-views.js';
 import type { FencedWriter } from '../leader/fenced-writer.js';
 import type { LeaderContext } from '../leader/leader-context.js';
@@ -44,8 +44,9 @@
     const due: Job[] = [];
     for (const [job, since] of cluster.pendingStatus) {
       if (due.length >= txnOps || now - since < STATUS_DELAY_MS) break;
-      if (job.cancelledAt === undefined && cluster.jobs.get(job.id) === job) due.push(job);
-      else cluster.pendingStatus.delete(job);
+      if (job.cancelledAt !== undefined || cluster.jobs.get(job.id) !== job)
+        cluster.pendingStatus.delete(job);
+      else if (mayWriteJob(job)) due.push(job);
     }
     return due;
   }
--- a/src/storage/job-cache.ts
+++ b/src/storage/job-cache.ts
@@ -9,7 +9,7 @@
 import { NO_REVISION, type JobId, type ModRevision, type Revision } from '../protocol/ids.js';
 import type { StoreEvent } from '../protocol/state.js';
 import type { AuxiliaryCache } from './pipeline-cache.js';
-import { Prefix, jobRecordSchema, unseal, type JobRecord } from './records.js';
+import { Prefix, jobIdOfKey, jobRecordSchema, unseal, type JobRecord } from './records.js';
 import type { StoreClient } from './store-client.js';
 
 /** A job's record and its mod revision. */
@@ -21,10 +21,6 @@
 /** Is called with each record received from the store; `job` is undefined where the record was removed. */
 export type JobListener = (id: JobId, job: CachedJob | undefined, modRevision: ModRevision) => void;
 
-/** All job ids start with the same text, and no other key under the jobs' prefix does. */
-const isJobRecord = (key: string): boolean => key.startsWith('req-', Prefix.job.length);
-const jobIdOfKey = (key: string): JobId => key.slice(Prefix.job.length) as JobId;
-
 /** How long the service holds a watch without changes. */
 const WATCH_MS = 4000;
 /** Mean delay before a failed watch is opened again. */
@@ -167,8 +163,7 @@
   private apply(events: readonly StoreEvent[], revision: Revision, sentAt: SteadyMs): void {
     for (const event of events) {
       if (event.op === 'put') this.put(event.key, event.value, event.modRevision);
-      else if (isJobRecord(event.key)) this.remove(jobIdOfKey(event.key), event.modRevision);
-      else this.auxiliaryCache?.remove(event.key, event.modRevision);
+      else this.removeKey(event.key, event.modRevision);
     }
     this.advance(revision, sentAt);
   }
@@ -179,8 +174,8 @@
   }
 
   private put(key: string, value: unknown, modRevision: ModRevision): void {
-    if (!isJobRecord(key)) return this.auxiliaryCache?.put(key, value, modRevision);
     const id = jobIdOfKey(key);
+    if (id === undefined) return this.auxiliaryCache?.put(key, value, modRevision);
     if (modRevision <= this.knownRevision(id)) return;
     this.recordsDecoded++;
     const record = unseal(jobRecordSchema, value);
@@ -197,6 +192,12 @@
     this.listener?.(id, job, modRevision);
   }
 
+  private removeKey(key: string, modRevision: ModRevision): void {
+    const id = jobIdOfKey(key);
+    if (id === undefined) this.auxiliaryCache?.remove(key, modRevision);
+    else this.remove(id, modRevision);
+  }
+
   private remove(id: JobId, modRevision: ModRevision): void {
     if (modRevision <= this.knownRevision(id)) return;
     this.jobs.delete(id);
--- a/src/storage/records/store-keys.ts
+++ b/src/storage/records/store-keys.ts
@@ -48,6 +48,13 @@
   receipt: (id: PlanId): StoreKey => key(Prefix.receipt + id),
 };
 
+/** All job ids start with the same text, and no other key under the jobs' prefix does. */
+const JOB_RECORD_PREFIX = `${Prefix.job}req-`;
+
+/** Returns the job whose record has this key; undefined where the key is not of a job record. */
+export const jobIdOfKey = (key: string): JobId | undefined =>
+  key.startsWith(JOB_RECORD_PREFIX) ? (key.slice(Prefix.job.length) as JobId) : undefined;
+
 /** Returns the identity of the plan of this number under this term. */
 export const planId = (term: Term, planNumber: number): PlanId =>
   `${padNumber(term, TERM_DIGITS)}-${padNumber(planNumber, PLAN_NUMBER_DIGITS)}` as PlanId;
--- /dev/null
+++ b/test/job-writes.test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ClusterState, type Job, type Placement } from '../src/cluster/cluster-state.js';
+import { nextCompletionTransaction } from '../src/coordination/completion/completion-transaction.js';
+import {
+  JobRecordListener,
+  type JobRecordListenerDependencies,
+} from '../src/coordination/leader/job-record-listener.js';
+import type {
+  AgentEpoch,
+  Attempt,
+  JobId,
+  MachineId,
+  ModRevision,
+  PlanId,
+  TaskIndex,
+  Term,
+  TypeName,
+  ZoneName,
+} from '../src/protocol/ids.js';
+import type { JobSpec } from '../src/protocol/jobs.js';
+import { Keys } from '../src/storage/records.js';
+import type { SteadyMs } from '../src/transport/clock.js';
+import { silentLog } from '../src/transport/log.js';
+import { addQueuedJobs, buildJobSpec } from './simulator/cluster-state-builders.js';
+import { ProcessClock, VirtualTime } from './simulator/virtual-time.js';
+
+/**
+ * Guards against a job that is completed while another transaction about it has no answer, and against one job's refused record that
+ * holds up the completions of all others. Both stopped all completions until the leader was replaced (review, case 1).
+ */
+const TERM = 5n as Term;
+const NOW = 1000 as SteadyMs;
+const FIRST = 'req-000001' as JobId;
+const SECOND = 'req-000002' as JobId;
+
+function clusterWith(...specs: JobSpec[]): { cluster: ClusterState; jobs: Job[] } {
+  const cluster = new ClusterState(TERM);
+  return { cluster, jobs: addQueuedJobs(cluster, specs) };
+}
+
+function addEndedTask(cluster: ClusterState, job: Job, index: number): Placement {
+  const id = `m-${index}` as MachineId;
+  const machine =
+    cluster.machines.get(id) ?? cluster.addMachine(id, 'g' as TypeName, 'a' as ZoneName, false, NOW, NOW);
+  const plan = 'p' as PlanId;
+  cluster.plans.set(plan, { id: plan, openTasks: 2, completionBatches: new Set() });
+  const placement = cluster.addPlacement(
+    job,
+    index as TaskIndex,
+    1n as Attempt,
+    machine,
+    1n as AgentEpoch,
+    plan,
+    NOW,
+  );
+  cluster.endPlacement(placement, 'done', NOW);
+  return placement;
+}
+
+const completedJobs = (cluster: ClusterState): JobId[] =>
+  nextCompletionTransaction(cluster, {
+    txnOps: 12,
+    valueKb: 8,
+    batchKey: Keys.completionBatch(TERM, 1),
+    batchDue: true,
+    requeueDue: true,
+  })?.completedJobs.map((job) => job.id) ?? [];
+
+describe('the completion transaction', () => {
+  it('completes no cancelled job while a plan that names it has no answer', () => {
+    const { cluster, jobs } = clusterWith(buildJobSpec(FIRST), buildJobSpec(SECOND));
+    for (const job of jobs) job.cancelledAt = NOW;
+    jobs[0]!.unansweredWrite = 'plan';
+    assert.deepEqual(completedJobs(cluster), [SECOND]);
+    jobs[0]!.unansweredWrite = undefined;
+    assert.deepEqual(completedJobs(cluster), [FIRST, SECOND]);
+  });
+
+  it('completes no gang that is done while a plan with the replacement of a lost task has no answer', () => {
+    const { cluster, jobs } = clusterWith(buildJobSpec(FIRST, { kind: 'gang', tasks: 2 }));
+    addEndedTask(cluster, jobs[0]!, 0);
+    jobs[0]!.unansweredWrite = 'plan';
+    assert.deepEqual(completedJobs(cluster), []);
+    jobs[0]!.unansweredWrite = undefined;
+    assert.deepEqual(completedJobs(cluster), [FIRST]);
+  });
+
+  it('leaves out a job whose record was refused until it is read again, and completes the others', () => {
+    const { cluster, jobs } = clusterWith(buildJobSpec(FIRST), buildJobSpec(SECOND));
+    jobs.forEach((job, index) => addEndedTask(cluster, job, index));
+    const { listener } = listenTo(cluster);
+    const [first] = jobs as [Job, Job];
+    listener.onConditionRefused({ key: Keys.job(FIRST), modRevision: first.modRevision });
+    assert.deepEqual(completedJobs(cluster), [SECOND]);
+    listener.onRecord(FIRST, { record: first.record, modRevision: 9n as ModRevision }, 9n as ModRevision);
+    assert.deepEqual(completedJobs(cluster), [FIRST, SECOND]);
+  });
+});
+
+function listenTo(cluster: ClusterState): { listener: JobRecordListener; restarts: string[] } {
+  const restarts: string[] = [];
+  const dependencies: JobRecordListenerDependencies = {
+    clock: new ProcessClock(new VirtualTime(), 1, 0),
+    log: silentLog,
+    cluster,
+    cancelledJobs: { has: () => false },
+    dispatcher: { scheduleStops: () => undefined },
+    pipelines: undefined,
+    isActive: () => true,
+    wake: () => undefined,
+    restartTerm: (reason) => void restarts.push(reason),
+  };
+  return { listener: new JobRecordListener(dependencies), restarts };
+}
+
+describe('the removal of a job record', () => {
+  const REMOVED_AT = 9n as ModRevision;
+
+  it('begins a new term if the job has not ended', () => {
+    const { cluster } = clusterWith(buildJobSpec(FIRST));
+    const { listener, restarts } = listenTo(cluster);
+    listener.onRecord(FIRST, undefined, REMOVED_AT);
+    assert.equal(restarts.length, 1);
+  });
+
+  it('is expected while the completion has no answer, and after it', () => {
+    const { cluster, jobs } = clusterWith(buildJobSpec(FIRST));
+    const { listener, restarts } = listenTo(cluster);
+    jobs[0]!.unansweredWrite = 'completion';
+    listener.onRecord(FIRST, undefined, REMOVED_AT);
+    cluster.removeJob(jobs[0]!);
+    listener.onRecord(FIRST, undefined, REMOVED_AT);
+    assert.deepEqual(restarts, []);
+  });
+});
--- a/test/planner.test.ts
+++ b/test/planner.test.ts
@@ -108,6 +108,20 @@
     });
   });
 
+  it('plans no task of a job whose completion has no answer, or whose record was refused', () => {
+    fc.assert(
+      fc.property(arbitraryScenario, (scenario) => {
+        const { snapshot, jobs } = buildSnapshot(scenario);
+        const [completing, outdated] = jobs;
+        if (completing) completing.unansweredWrite = 'completion';
+        if (outdated) outdated.refusedRevision = outdated.modRevision;
+        const planned = new Set(planSchedulingCycle(snapshot).tasks.map(({ job }) => job));
+        for (const job of [completing, outdated]) if (job) assert.ok(!planned.has(job));
+      }),
+      { seed: 20260, numRuns: 200 },
+    );
+  });
+
   it('never plans more on a machine than fits', () => {
     checkPlans((tasks) => {
       const used = new Map<Machine, { cpus: number; gpus: number; memoryGb: number }>();
--- a/test/simulator/invariant-checker.ts
+++ b/test/simulator/invariant-checker.ts
@@ -65,7 +65,8 @@
     this.starvation = new StarvationChecker(limits, (what) => this.recordViolation('left_waiting', what));
   }
 
-  private recordViolation(rule: string, detail: string): void {
+  /** Records a violation once. */
+  recordViolation(rule: string, detail: string): void {
     const line = `${rule} at ${(this.time.now / 1000).toFixed(2)} s: ${detail}`;
     if (!this.violations.includes(line)) this.violations.push(line);
   }
--- a/test/simulator/scenario-parser.ts
+++ b/test/simulator/scenario-parser.ts
@@ -50,6 +50,7 @@
  *     on plan/ 1 crash-after        (the nth transaction that touches the prefix)
  *     at 9 hook plan/ 1 hold 20     (the same, counted from then on; `*`: any key)
  *     at 9 hook term/ 1 outage 60   (carried out, and from that moment on the state service is down)
+ *     at 9 hook plan/ 1 slow-answer 0.4    (carried out at once, and answered so much later)
  *     expect req-000001 done by 30
  *     each n 1 2 3                  (played once for each value; `{n}` stands for it in all other lines)
  *
@@ -274,6 +275,7 @@
   const [kind, seconds] = words;
   if (kind === 'hold') return { holdS: Number(seconds) };
   if (kind === 'outage') return { outageS: Number(seconds) };
+  if (kind === 'slow-answer') return { slowAnswerS: Number(seconds) };
   if (kind === 'crash-before' || kind === 'crash-after' || kind === 'lose-reply') return kind;
   throw new Error(`scenario: unknown fault of a transaction '${words.join(' ')}'`);
 }
--- a/test/simulator/simulated-cluster.ts
+++ b/test/simulator/simulated-cluster.ts
@@ -146,6 +146,7 @@
 
   /** Faults that transactions set off reach beyond the store. */
   private connectStoreHooks(): void {
+    this.store.transactionChecker.onViolation = (rule, detail) => this.checker.recordViolation(rule, detail);
     this.store.onCrash = (host) => this.crash(host, CRASH_RESTART_MS);
     this.store.onOutage = (s) => {
       this.store.setOutage(true);
--- a/test/simulator/simulated-store.ts
+++ b/test/simulator/simulated-store.ts
@@ -2,6 +2,7 @@
 import { F, Paths } from '../../src/protocol/wire.js';
 import type { Reply } from '../../src/transport/http.js';
 import { seededRandom, type Random } from '../../src/transport/random.js';
+import { TransactionChecker, type ReceivedTransaction } from './transaction-checker.js';
 import type { VirtualTime } from './virtual-time.js';
 
 interface StoredEntry {
@@ -11,7 +12,12 @@
 }
 
 export type TxnFault =
-  'crash-before' | 'crash-after' | 'lose-reply' | { readonly holdS: number } | { readonly outageS: number };
+  | 'crash-before'
+  | 'crash-after'
+  | 'lose-reply'
+  | { readonly holdS: number }
+  | { readonly outageS: number }
+  | { readonly slowAnswerS: number };
 
 /** What to do with the nth transaction that puts or removes a key under a prefix. */
 export interface TxnHook {
@@ -39,6 +45,15 @@
 const neverAnswers = (): Promise<Reply> => new Promise(() => undefined);
 const reply = (status: number, body: unknown): Reply => ({ status, body: encode(body) });
 
+const receivedTransaction = (
+  conditions: readonly WireMap[],
+  changes: readonly WireMap[],
+): ReceivedTransaction => ({
+  conditions: conditions.map((c) => ({ key: String(c[F.key]), modRevision: Number(c[F.modRevision]) })),
+  puts: changes.flatMap((c) => (c[F.put] === undefined ? [] : [String(c[F.put])])),
+  deletes: changes.flatMap((c) => (c[F.delete] === undefined ? [] : [String(c[F.delete])])),
+});
+
 /** The state service, as its protocol says it behaves. */
 export class SimulatedStore {
   readonly keys = new Map<string, StoredEntry>();
@@ -53,6 +68,10 @@
   outage = false;
   readonly refusedHosts = new Set<string>();
   readonly hooks: TxnHook[] = [];
+  /** Judges the transactions of leaders. */
+  readonly transactionChecker = new TransactionChecker();
+  /** What to call when the answers to transactions leave. */
+  private readonly onAnswered = new WeakMap<Reply, () => void>();
   onCrash: (host: string) => void = () => undefined;
   onOutage: (seconds: number) => void = () => undefined;
   /** Transactions that get no answer and are carried out 2 to 12 s later, after newer ones of the same node. */
@@ -128,6 +147,7 @@
     if (before) await time.sleep(extraMs);
     const reply = await this.answer(from, method, path, body);
     if (isSlow && !before) await time.sleep(extraMs);
+    this.onAnswered.get(reply)?.();
     return reply;
   }
 
@@ -271,6 +291,11 @@
       this.onOutage(hook.fault.outageS);
       return reply;
     }
+    if ('slowAnswerS' in hook.fault) {
+      const reply = this.txn(map, changes);
+      const delayMs = hook.fault.slowAnswerS * 1000;
+      return this.time.sleep(delayMs).then(() => reply);
+    }
     this.time.after(hook.fault.holdS * 1000, () => this.txn(map, changes));
     return neverAnswers();
   }
@@ -289,7 +314,10 @@
     const failed = conditions
       .filter((c) => (this.keys.get(String(c[F.key]))?.modRevision ?? 0) !== Number(c[F.modRevision]))
       .map((c) => c[F.key]);
-    if (failed.length > 0) return reply(409, { [F.failed]: failed, [F.revision]: this.revision });
+    if (failed.length > 0) {
+      this.transactionChecker.refused(receivedTransaction(conditions, changes), failed.map(String));
+      return reply(409, { [F.failed]: failed, [F.revision]: this.revision });
+    }
     if (changes.length > 0) this.revision++;
     this.writes += changes.length;
     for (const change of changes) {
@@ -302,6 +330,9 @@
       }
     }
     this.notify();
-    return reply(200, { [F.revision]: this.revision });
+    const answer = reply(200, { [F.revision]: this.revision });
+    const transaction = receivedTransaction(conditions, changes);
+    this.onAnswered.set(answer, this.transactionChecker.committed(transaction));
+    return answer;
   }
 }
--- /dev/null
+++ b/test/simulator/transaction-checker.ts
@@ -0,0 +1,68 @@
+import { Keys, Prefix, jobIdOfKey } from '../../src/storage/records.js';
+
+/** A transaction as the state service receives it. */
+export interface ReceivedTransaction {
+  readonly conditions: readonly { readonly key: string; readonly modRevision: number }[];
+  readonly puts: readonly string[];
+  readonly deletes: readonly string[];
+}
+
+/**
+ * Loops of a leader that write job records under a condition: plans, completions and status updates. Each has one transaction on
+ * its way at a time, so no more than these can carry a condition whose refusal the leader does not know yet.
+ */
+const WRITERS_OF_JOB_RECORDS = 3;
+
+/**
+ * Checks the invariants of `src/cluster/job-writes.ts` from what the state service sees of leaders' transactions, which are told
+ * apart by the revision of the leader's record that they are conditioned on.
+ */
+export class TransactionChecker {
+  /** Called with each violation. */
+  onViolation: (rule: string, detail: string) => void = () => undefined;
+  /** Jobs named by plans that were committed and not answered yet, with the number of these plans. */
+  private readonly unansweredPlans = new Map<string, number>();
+  private readonly refusals = new Map<string, number>();
+
+  /** A transaction was carried out. Returns what is to be called when its answer leaves. */
+  committed(transaction: ReceivedTransaction): () => void {
+    const fence = fenceOf(transaction);
+    if (fence === undefined) return () => undefined;
+    for (const key of transaction.deletes) {
+      if (jobIdOfKey(key) !== undefined && this.unansweredPlans.has(`${fence} ${key}`))
+        this.onViolation('removed_unanswered', `${key} was removed while a plan that names it had no answer`);
+    }
+    if (!transaction.puts.some((key) => key.startsWith(Prefix.plan))) return () => undefined;
+    const planned = jobConditions(transaction).map(({ key }) => `${fence} ${key}`);
+    for (const name of planned) addTo(this.unansweredPlans, name, 1);
+    return () => {
+      for (const name of planned) addTo(this.unansweredPlans, name, -1);
+    };
+  }
+
+  /** A transaction was refused because of the conditions on these keys. */
+  refused(transaction: ReceivedTransaction, failedKeys: readonly string[]): void {
+    const fence = fenceOf(transaction);
+    if (fence === undefined) return;
+    for (const { key, modRevision } of jobConditions(transaction)) {
+      if (!failedKeys.includes(key)) continue;
+      const count = addTo(this.refusals, `${fence} ${key} ${modRevision}`, 1);
+      if (count === WRITERS_OF_JOB_RECORDS + 1)
+        this.onViolation('refused_again', `${key} at ${modRevision} was refused ${count} times`);
+    }
+  }
+}
+
+const fenceOf = ({ conditions }: ReceivedTransaction): number | undefined =>
+  conditions.find(({ key }) => key === Keys.leader)?.modRevision;
+
+/** The conditions on records of jobs that exist. */
+const jobConditions = ({ conditions }: ReceivedTransaction): ReceivedTransaction['conditions'] =>
+  conditions.filter(({ key, modRevision }) => jobIdOfKey(key) !== undefined && modRevision > 0);
+
+function addTo(counts: Map<string, number>, name: string, change: number): number {
+  const count = (counts.get(name) ?? 0) + change;
+  if (count > 0) counts.set(name, count);
+  else counts.delete(name);
+  return count;
+}
