An ended attempt is forgotten only once no repeated start of it can be carried out

A machine kept 64 ended attempts; a task that failed there was forgotten at once and started elsewhere, and a repeat of the request that had started it started it there again.

Cause: a worker refuses a repeated start only of an attempt that it remembers, so attempts without a result are retained until their worker obeys a higher token than that of their plan. But only 64 were, to keep heartbeats short; all others, the newest, were forgotten at once.

Fix: the number of retained attempts no longer decides. A start goes to an agent's address only under the token of its plan, otherwise with the reply to a heartbeat, which can't be late. What an agent retains is looked at again when its token rises. The simulated agent reports each early forget and each heartbeat over 64 KiB (forgotten_early, too_large).

--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -39,6 +39,9 @@
 export { isRecordOutdated, mayPlaceTasks, mayWriteJob } from './job-writes.js';
 export { failsEverywhere, teamUsageWithOrphans, waitingTaskCount, waitingTasks } from './counts.js';
 
+/** From this number of retained exits on, a machine's agent is to obey a higher fencing token, and may then forget them. */
+const RETAINED_EXITS_TO_FENCE = 64;
+
 /** Changes of a job's record arrive within seconds of the job's completion, so remembering the last few thousand is enough. */
 const MAX_ENDED_JOBS = 10_000;
 
@@ -85,6 +88,10 @@
   readonly pendingStatus = new Map<Job, SteadyMs>();
   /** Machines with orphan tasks. */
   readonly machinesWithOrphans = new Set<Machine>();
+  /** Machines that retain `RETAINED_EXITS_TO_FENCE` exited attempts or more. */
+  readonly machinesWithManyExits = new Set<Machine>();
+  /** Sum of the retained exits of all machines. */
+  totalRetainedExits = 0;
   /** Spot machines whose interruption the provider has announced. */
   readonly interruptedMachines = new Set<Machine>();
   /** Starts whose answer was lost: they may still be executed until their agent obeys a higher fencing token. */
@@ -210,6 +217,14 @@
     else this.machinesWithOrphans.delete(machine);
   }
 
+  /** Sets how many exited attempts the machine's agent must not forget yet. */
+  setRetainedExits(machine: Machine, count: number): void {
+    this.totalRetainedExits += count - machine.retainedExits;
+    machine.retainedExits = count;
+    if (count >= RETAINED_EXITS_TO_FENCE) this.machinesWithManyExits.add(machine);
+    else this.machinesWithManyExits.delete(machine);
+  }
+
   /** Records proof that the task has left its machine. It can't be planned again before `completePlacement`. */
   endPlacement(
     placement: Placement,
@@ -325,5 +340,6 @@
     this.machines.delete(machine.id);
     this.interruptedMachines.delete(machine);
     this.machinesWithOrphans.delete(machine);
+    this.setRetainedExits(machine, 0);
   }
 }
--- a/src/cluster/entities.ts
+++ b/src/cluster/entities.ts
@@ -154,6 +154,10 @@
    * none either, until the cluster state of this machine changes. Changed by `ClusterState` and by reconciliation.
    */
   reconciledTasks: readonly ReportedTask[] | undefined;
+  /** Fencing token of the newest reconciled heartbeat. */
+  reconciledToken: Term | undefined;
+  /** Exited attempts in that heartbeat that the agent must not forget before it obeys a higher token. Changed by `ClusterState`. */
+  retainedExits: number;
   /** When its agent was last probed. */
   probedAt: SteadyMs | undefined;
   /** A command in an answer to a heartbeat that no heartbeat has confirmed yet. */
--- a/src/cluster/new-entities.ts
+++ b/src/cluster/new-entities.ts
@@ -89,6 +89,8 @@
     pendingCommits: 0,
     cachedImages: new Map(),
     reconciledTasks: undefined,
+    reconciledToken: undefined,
+    retainedExits: 0,
     probedAt: undefined,
     unconfirmedCommand: undefined,
     suspectedSince: undefined,
--- a/src/coordination/dispatch/command-dispatcher.ts
+++ b/src/coordination/dispatch/command-dispatcher.ts
@@ -9,6 +9,7 @@
 import { Paths } from '../../protocol/wire.js';
 import { encodeCommands, type Command, type Heartbeat } from '../../protocol/heartbeats.js';
 import type { Machine, Placement } from '../../cluster/cluster-state.js';
+import { termOfAttempt } from '../../storage/records.js';
 import { heartbeatContext } from '../heartbeats/heartbeat-context.js';
 import { handleCommandReply } from '../heartbeats/heartbeat-handler.js';
 import { markSuspect } from '../heartbeats/suspicion.js';
@@ -113,6 +114,8 @@
       !placement.stop &&
       placement.agentEpoch === agentEpoch &&
       placement.startSentWith === undefined &&
+      // An exited attempt may be forgotten under any higher token than that of its plan, so no later one ever carries its start.
+      termOfAttempt(placement.attempt) === this.leader.leadership.term &&
       // Cancellations are checked again just before the start is sent: the cluster state may not show them yet.
       !this.leader.dependencies.cancelled.has(placement.job.id)
     );
--- a/src/coordination/explain/ineligible-machines.ts
+++ b/src/coordination/explain/ineligible-machines.ts
@@ -14,7 +14,7 @@
 } from '../scheduling/eligibility.js';
 
 /** The settings that determine how long a machine takes to become eligible again. */
-export type AgentSettings = Pick<Settings['workers'], 'reportS'>;
+export type AgentSettings = Pick<Settings['workers'], 'reportS' | 'leaseS'>;
 
 export interface IneligibilityEnd {
   /** When the reason began; undefined where that is not recorded. */
@@ -88,6 +88,12 @@
       };
     case 'orphan-tasks':
       return { since: undefined, withinS: 2 * heartbeatS, endsWhen: 'what no plan put there is stopped' };
+    case 'exits-retained':
+      return {
+        since: undefined,
+        withinS: agentSettings.leaseS / 2 + 2 * heartbeatS,
+        endsWhen: 'it has taken a higher token and forgotten them',
+      };
   }
 }
 
@@ -101,6 +107,7 @@
   suspect: 'seem not to hear',
   'zone-silent': 'are in a zone that has fallen silent',
   'orphan-tasks': 'run what no plan put there',
+  'exits-retained': 'still have to remember many attempts that ended',
 };
 
 /** Returns a line per reason for which machines that may run the job get no new tasks: how many, since when, when it ends. */
--- a/src/coordination/heartbeats/heartbeat-handler.ts
+++ b/src/coordination/heartbeats/heartbeat-handler.ts
@@ -128,6 +128,7 @@
   }
   machine.agentEpoch = heartbeat.epoch;
   context.cluster.setOrphanTasks(machine, []);
+  context.cluster.setRetainedExits(machine, 0);
   context.wake();
 }
 
--- a/src/coordination/heartbeats/reconciliation.ts
+++ b/src/coordination/heartbeats/reconciliation.ts
@@ -22,9 +22,6 @@
 /** Stop and forget commands beyond this number are left to the reply to the next heartbeat. */
 const MAX_COMMANDS_PER_REPLY = MAX_COMMANDS_WITH_STARTS + 300;
 
-/** Number of exited attempts that an agent is left to remember; each adds about 100 bytes to its heartbeats. */
-const MAX_RETAINED_EXITS = 64;
-
 /** Returns the current placement of the reported task, if its machine, attempt and agent epoch match. */
 export function findPlacement(
   cluster: Pick<AgentClusterState, 'jobs'>,
@@ -75,7 +72,9 @@
   // The usual case: nothing changed on either side since the last heartbeat that needed no command.
   const isUnchanged =
     machine.reconciledTasks !== undefined && hasSameTasks(machine.reconciledTasks, heartbeat.tasks);
-  if (isUnchanged) return NO_COMMANDS;
+  // Under a higher token, the agent may forget exits that it had to retain before.
+  const mayForgetMore = machine.retainedExits > 0 && machine.reconciledToken !== heartbeat.token;
+  if (isUnchanged && !mayForgetMore) return NO_COMMANDS;
   return new Reconciliation(context, machine, heartbeat, hasEarlierHeartbeat, now).run();
 }
 
@@ -118,6 +117,8 @@
     this.context.cluster.reconciledTaskCount += heartbeat.tasks.length;
     machine.reconciledTasks = undefined;
     for (const task of heartbeat.tasks) this.matchTask(task);
+    machine.reconciledToken = heartbeat.token;
+    this.context.cluster.setRetainedExits(machine, this.retainedExits);
     this.recordOrphans();
     const agrees = this.checkPlacements();
     if (agrees && commands.length === 0) machine.reconciledTasks = heartbeat.tasks;
@@ -139,7 +140,7 @@
       this.orphans.push(task);
       return;
     }
-    if (mayStartAgain(task, this.heartbeat.token) && this.retainedExits < MAX_RETAINED_EXITS) {
+    if (mayStartAgain(task, this.heartbeat.token)) {
       this.retainedExits++;
       return;
     }
@@ -227,11 +228,13 @@
 }
 
 /**
- * Whether a start of an exited attempt may be carried out a second time. A command may arrive minutes late as long as the agent
- * obeys its token, and an agent refuses only the start of an attempt that it still remembers. An attempt that was stopped, and
- * whose task may run elsewhere by then, is therefore forgotten only once the agent obeys a higher token than that of its plan.
- * Otherwise a replica moved off a spot machine before an interruption can run there a second time. A completed attempt may be
- * forgotten at once: its result exists, so a second start exits immediately.
+ * Whether a start of an exited attempt may be carried out a second time. A command may arrive minutes late, or again after it was
+ * carried out, as long as the agent obeys its token, and an agent refuses only the start of an attempt that it still remembers.
+ *
+ * Invariant: an attempt that ended without a result is forgotten only once its agent obeys a higher token than that of its plan, however
+ * it ended and however many others the agent retains. Its start was never sent to the agent under a later token (`CommandDispatcher`).
+ * Otherwise a task that failed, was refused or was stopped here, and runs elsewhere by then, could start here a second time. A
+ * completed attempt may be forgotten at once: its result exists, so a second start exits without running.
  */
 const mayStartAgain = (task: ReportedTask, token: Term): boolean =>
   task.cause !== 'done' && termOfAttempt(task.attempt) >= token;
--- a/src/coordination/leader/cluster-state-views.ts
+++ b/src/coordination/leader/cluster-state-views.ts
@@ -35,6 +35,7 @@
   | 'isFromRemovedMachine'
   | 'interruptedMachines'
   | 'setOrphanTasks'
+  | 'setRetainedExits'
   | 'reconciledTaskCount'
   | 'recordImage'
   | 'imagesChanged'
--- a/src/coordination/leader/leader.ts
+++ b/src/coordination/leader/leader.ts
@@ -41,6 +41,9 @@
 /** Pause before the cluster state is loaded again after a failure. */
 const LOAD_RETRY_MS = 200;
 
+/** An agent sends a heartbeat because of a higher token at most once in this part of its lease. */
+const TOKEN_HEARTBEAT_LEASE_SHARE = 0.5;
+
 /** The components that act for one term, and the queries that other parts of the controller may make. */
 export class Leader implements LeaderContext {
   cluster: ClusterState | undefined;
@@ -254,6 +257,7 @@
       writer: this.writer,
       dispatcher: this.dispatcher,
       heartbeatIntervalMs: settings.workers.reportS * 1000,
+      tokenHeartbeatIntervalMs: settings.workers.leaseS * TOKEN_HEARTBEAT_LEASE_SHARE * 1000,
       isActive: () => this.isActive(),
     });
   }
--- a/src/coordination/scheduling/eligibility.ts
+++ b/src/coordination/scheduling/eligibility.ts
@@ -49,7 +49,15 @@
   /** Its heartbeats arrive, but commands seem not to reach it. */
   | 'suspect'
   | 'zone-silent'
-  | 'orphan-tasks';
+  | 'orphan-tasks'
+  /** Its agent retains so many exited attempts that its heartbeats could become too long. */
+  | 'exits-retained';
+
+/**
+ * From this number of retained exits on, a machine gets no new tasks. An exit takes about 100 bytes of a heartbeat, which is limited to
+ * 64 KiB; the rest is for tasks that run.
+ */
+export const MAX_RETAINED_EXITS = 256;
 
 /** The inputs that decide whether a machine is eligible. */
 export type EligibilityContext = Pick<
@@ -69,7 +77,8 @@
   if (machine.quarantinedUntil > context.now) return 'quarantined';
   if (machine.suspectedSince !== undefined) return 'suspect';
   if (context.unresponsiveZones?.has(machine.zone)) return 'zone-silent';
-  return machine.orphanTasks.length > 0 ? 'orphan-tasks' : undefined;
+  if (machine.orphanTasks.length > 0) return 'orphan-tasks';
+  return machine.retainedExits >= MAX_RETAINED_EXITS ? 'exits-retained' : undefined;
 }
 
 /** Whether the machine may take new tasks now. */
--- a/test/ineligible-machines.test.ts
+++ b/test/ineligible-machines.test.ts
@@ -24,6 +24,7 @@
   silentMs: (then) => NOW - then,
   unresponsiveZones: new Set(['b' as ZoneName]),
 };
+const AGENT_SETTINGS = { reportS: 6, leaseS: 60 };
 const ELIGIBLE: Partial<Machine> = { state: 'up', fenced: true, lastHeartbeat: (NOW - 1000) as SteadyMs };
 
 const REASONS: Readonly<Record<IneligibilityReason, Partial<Machine>>> = {
@@ -36,6 +37,7 @@
   suspect: { ...ELIGIBLE, suspectedSince: (NOW - 4000) as SteadyMs },
   'zone-silent': { ...ELIGIBLE, zone: 'b' as ZoneName },
   'orphan-tasks': { ...ELIGIBLE, orphanTasks: [{ job: 'req-000009' as JobId, index: 0 as TaskIndex }] },
+  'exits-retained': { ...ELIGIBLE, retainedExits: 256 },
 };
 
 function buildMachine(overrides: Partial<Machine>): { cluster: ClusterState; machine: Machine } {
@@ -50,7 +52,7 @@
   test(`a machine ineligible as '${reason}': the reason ends soon and is explained to the job's user`, () => {
     const { cluster, machine } = buildMachine(overrides);
     assert.equal(ineligibilityReason(machine, CONTEXT), reason);
-    for (const agentSettings of [{ reportS: 1 }, { reportS: 6 }]) {
+    for (const agentSettings of [{ reportS: 1, leaseS: 8 }, AGENT_SETTINGS]) {
       const end = ineligibilityEnd(reason, machine, G4.bootS, agentSettings, NOW);
       assert.ok(end.withinS > 0 && end.withinS <= 60, `${reason}: ${end.withinS} s`);
     }
@@ -60,9 +62,7 @@
       cluster.machines.values(),
       new Map([[G4.name, G4]]),
       CONTEXT,
-      {
-        reportS: 6,
-      },
+      AGENT_SETTINGS,
     );
     assert.equal(lines.length, 1);
     assert.match(
@@ -77,9 +77,13 @@
   assert.equal(ineligibilityReason(machine, CONTEXT), undefined);
   const [job] = [...cluster.jobs.values()];
   const explain = (): string[] =>
-    explainIneligibleMachines(job!, cluster.machines.values(), new Map([[G4.name, G4]]), CONTEXT, {
-      reportS: 6,
-    });
+    explainIneligibleMachines(
+      job!,
+      cluster.machines.values(),
+      new Map([[G4.name, G4]]),
+      CONTEXT,
+      AGENT_SETTINGS,
+    );
   assert.deepEqual(explain(), []);
   job!.avoidedUntil.set(machine.id, (NOW + 7000) as SteadyMs);
   assert.deepEqual(explain(), [
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -41,10 +41,15 @@
 import type { Change, Condition } from '../src/protocol/state.js';
 import { HeartbeatReader } from '../src/protocol/heartbeat-reader.js';
 import { encodeHeartbeat } from '../src/protocol/heartbeats.js';
+import { MAX_RETAINED_EXITS } from '../src/coordination/scheduling/eligibility.js';
 import { ok } from '../src/transport/result.js';
 
 /** Both operators run about this many machines: no fixed limit of the program may be lower. */
 const MACHINES = 4000;
+/** The protocol's limit for request bodies. */
+const MAX_BODY_BYTES = 64 * 1024;
+/** Tasks of half a processor each on the 96 processors of the protocol page's example. */
+const TASKS_OF_A_FULL_MACHINE = 192;
 const LIMITS = { valueKb: 8, txnOps: 6 };
 const LEADER_MOD_REVISION = 7n as ModRevision;
 
@@ -167,6 +172,30 @@
   assert.equal(reader.decodedTaskCount, MACHINES * perMachine);
 });
 
+test('a full machine with all the exits that it may retain still sends a heartbeat within the limit', () => {
+  const tasks = Array.from({ length: MAX_RETAINED_EXITS + TASKS_OF_A_FULL_MACHINE }, (_, i) => ({
+    job: `req-${String(i).padStart(6, '0')}` as JobId,
+    index: 99_999 as TaskIndex,
+    attempt: ((1n << 40n) + BigInt(i)) as Attempt,
+    state: 'exited' as const,
+    cause: 'incomplete' as never,
+    saved: true,
+  }));
+  const heartbeat = encodeHeartbeat({
+    machine: name(MACHINES - 1) as MachineId,
+    address: '10.255.255.255:65535' as Address,
+    type: 'large' as TypeName,
+    zone: 'z1' as ZoneName,
+    spot: true,
+    epoch: 1n as AgentEpoch,
+    sequence: (1n << 40n) as HeartbeatSequence,
+    token: (1n << 40n) as Term,
+    noticeS: 30,
+    tasks,
+  });
+  assert.ok(heartbeat.length <= MAX_BODY_BYTES, `${heartbeat.length} bytes`);
+});
+
 test('the records of cached images hold all six images of each of 4,000 machines', () => {
   const cachedImages: Machine['cachedImages'] = new Map(
     Array.from({ length: 6 }, (_, i) => [`registry/image-${i}` as ImageName, 4]),
--- a/test/reconciliation.test.ts
+++ b/test/reconciliation.test.ts
@@ -21,7 +21,9 @@
   TypeName,
   ZoneName,
 } from '../src/protocol/ids.js';
-import type { Heartbeat, ReportedTask } from '../src/protocol/heartbeats.js';
+import type { Command, Heartbeat, ReportedTask } from '../src/protocol/heartbeats.js';
+import { Causes, type Cause } from '../src/protocol/wire.js';
+import { attemptOf } from '../src/storage/records.js';
 import type { SteadyMs } from '../src/transport/clock.js';
 import { silentLog } from '../src/transport/log.js';
 import { Metrics } from '../src/transport/metrics.js';
@@ -264,6 +266,61 @@
   assert.equal(command?.op, 'forget');
 });
 
+/** More exited attempts than one agent ever reported at once in the review (case 2). */
+const MANY_EXITS = 300;
+
+const exitedTasks = (cause: Cause, count: number): ReportedTask[] =>
+  Array.from({ length: count }, (_, index) => ({
+    job: 'req-000009' as JobId,
+    index: index as TaskIndex,
+    attempt: attemptOf(TERM, 1),
+    state: 'exited',
+    cause,
+    saved: false,
+  }));
+
+// A start that was carried out may be repeated as long as its token stands: a forgotten attempt would run a second time.
+for (const cause of Object.keys(Causes).filter((name) => name !== 'done') as Cause[]) {
+  test(`attempts that ended as '${cause}' are forgotten under a higher token, and none before, however many they are`, () => {
+    const { context, heartbeat, placement } = setUp();
+    context.cluster.endPlacement(placement, 'gone', context.clock.now());
+    context.cluster.completePlacement(placement);
+    const tasks = exitedTasks(cause, MANY_EXITS);
+    const send = (sequence: bigint, token: Term) =>
+      handleHeartbeat(context, heartbeat({ sequence: sequence as HeartbeatSequence, tasks, token }));
+    const forgotten = (commands: readonly Command[]): number =>
+      commands.filter(({ op }) => op === 'forget').length;
+    assert.equal(forgotten(send(11n, TERM)), 0);
+    const reconciled = context.cluster.reconciledTaskCount;
+    assert.equal(forgotten(send(12n, TERM)), 0);
+    assert.equal(context.cluster.reconciledTaskCount, reconciled);
+    assert.equal(forgotten(send(13n, (TERM + 1n) as Term)), MANY_EXITS);
+  });
+}
+
+test('attempts that completed are forgotten at once: a second start exits without running', () => {
+  const { context, heartbeat } = setUp();
+  const commands = handleHeartbeat(context, heartbeat({ tasks: exitedTasks('done', 3) }));
+  assert.equal(commands.filter(({ op }) => op === 'forget').length, 3);
+  assert.equal(context.cluster.totalRetainedExits, 0);
+});
+
+test('the exits of a machine whose agent epoch ends, or that is removed, are retained no longer', () => {
+  const { context, heartbeat, placement } = setUp();
+  const { cluster } = context;
+  const tasks = exitedTasks('error', MANY_EXITS);
+  handleHeartbeat(context, heartbeat({ tasks }));
+  assert.equal(cluster.totalRetainedExits, MANY_EXITS);
+  assert.deepEqual([...cluster.machinesWithManyExits], [placement.machine]);
+  const sequence = 1n as HeartbeatSequence;
+  handleHeartbeat(context, heartbeat({ epoch: 2n as AgentEpoch, sequence }));
+  assert.equal(cluster.totalRetainedExits, 0);
+  handleHeartbeat(context, heartbeat({ epoch: 2n as AgentEpoch, sequence: 2n as HeartbeatSequence, tasks }));
+  cluster.removeMachine(placement.machine, context.clock.now());
+  assert.equal(cluster.totalRetainedExits, 0);
+  assert.equal(cluster.machinesWithManyExits.size, 0);
+});
+
 test('unverified heartbeats count against isolation in the first lease of a term, and not after', () => {
   const time = new VirtualTime();
   const clock = new ProcessClock(time, 1, 0);
--- a/test/simulator/simulated-agent.ts
+++ b/test/simulator/simulated-agent.ts
@@ -75,6 +75,10 @@
 }
 
 const HEARTBEAT_TIMEOUT_MS = 4000;
+/** The protocol's limit for request bodies. */
+const MAX_BODY_BYTES = 64 * 1024;
+
+const attemptKey = ({ job, index, attempt }: Command): string => `${job}/${index}#${attempt}`;
 
 /** One machine's worker, as the protocol says it behaves. */
 export class SimulatedAgent {
@@ -84,6 +88,8 @@
   private token = 0n;
   private target: number;
   private readonly tasks = new Map<string, LocalTask>();
+  /** The highest token of a direct command that started the attempt: a repeat of it is carried out as long as the token stands. */
+  private readonly directStartTokens = new Map<string, bigint>();
   private readonly images = new Map<string, number>();
   private leaseRenewedAt: number;
   private lastSentAt = -1e9;
@@ -170,6 +176,7 @@
     if (this.context.time.now - this.leaseRenewedAt <= this.context.limits.leaseS * 1000) return;
     for (const t of [...this.tasks.values()]) this.removeFromMachine(t);
     this.tasks.clear();
+    this.directStartTokens.clear();
     this.agentEpoch++;
     this.leaseRenewedAt = this.context.time.now;
     this.stateChanged = true;
@@ -210,11 +217,14 @@
     this.lastSentAt = sentAt;
     this.nextHeartbeatAt = sentAt + limits.reportS * 1000 * (0.75 + 0.5 * random.next());
     const controller = controllers[this.target % controllers.length]!;
+    const body = encodeHeartbeat(this.snapshot());
+    if (body.length > MAX_BODY_BYTES)
+      this.context.checker.recordViolation('too_large', `a heartbeat of ${this.host}`);
     const reply = await this.http.call(
       controller.address,
       'POST',
       Paths.heartbeat,
-      encodeHeartbeat(this.snapshot()),
+      body,
       HEARTBEAT_TIMEOUT_MS,
     );
     this.inFlight = false;
@@ -259,14 +269,17 @@
       return { status: 409, body: encodeHeartbeat(this.snapshot()) };
     }
     this.adoptToken(request.value.token);
-    for (const c of request.value.commands) this.execute(c);
+    for (const c of request.value.commands) {
+      if (c.op === 'start') this.directStartTokens.set(attemptKey(c), request.value.token);
+      this.execute(c);
+    }
     return { status: 200, body: encodeHeartbeat(this.snapshot()) };
   }
 
   // ---- tasks ----------------------------------------------------------------------------------------
 
   execute(command: Command): void {
-    const key = `${command.job}/${command.index}#${command.attempt}`;
+    const key = attemptKey(command);
     const task = this.tasks.get(key);
     if (command.op === 'start') {
       if (!task) this.start(command.job, command.index, command.attempt, key);
@@ -274,11 +287,20 @@
       if (task?.state !== 'exited') return;
       if (task.cause === 'done')
         this.context.checker.taskForgotten(command.job, command.index, command.attempt);
+      else this.checkForgotten(key);
       this.tasks.delete(key);
     } else if (task && task.state !== 'exited') this.stop(task, command.graceS);
     this.stateChanged = true;
   }
 
+  /** An attempt without a result starts again if a direct command is repeated that still carries the highest token. */
+  private checkForgotten(key: string): void {
+    const startToken = this.directStartTokens.get(key);
+    this.directStartTokens.delete(key);
+    if (startToken !== undefined && startToken >= this.token)
+      this.context.checker.recordViolation('forgotten_early', `${key} on ${this.host}`);
+  }
+
   private start(job: string, index: number, attempt: bigint, key: string): void {
     const run = this.context.jobs.get(job);
     this.context.checker.startCommandSent(job, index, attempt);
