A restart of an earlier leadership does not count for the present one

A restart of the term waits for the state service. If its leadership ends meanwhile and the same process is elected anew within that time, a restart of the new term returned the promise of the old one and did nothing; the loop that asked for it ended, and no completions were recorded until the leader changed. The new leadership also ignored newer terms as long as the old restart waited.

A restart now belongs to the leadership that it replaces.

--- a/src/coordination/election/leader-election.ts
+++ b/src/coordination/election/leader-election.ts
@@ -57,7 +57,8 @@
   private newestKnownLeader: KnownLeader = { term: 0n as Term, leader: undefined, address: undefined };
   onElected: (leadership: Leadership) => void = () => undefined;
   onLeadershipLost: (reason: string) => void = () => undefined;
-  private restarting: Promise<void> | undefined;
+  /** The restart that is under way, and the leadership that it is to replace. */
+  private restart: { readonly of: Leadership; readonly done: Promise<void> } | undefined;
 
   constructor(
     private readonly store: StoreClient,
@@ -97,7 +98,7 @@
     ) {
       this.newestKnownLeader = known;
     }
-    const isOwnTerm = (this.restarting !== undefined || this.raisingToken) && known.leader === this.self;
+    const isOwnTerm = (this.isRestarting || this.raisingToken) && known.leader === this.self;
     if (this.currentLeadership && known.term > this.currentLeadership.term && !isOwnTerm)
       this.loseLeadership('a newer term exists');
   }
@@ -178,7 +179,7 @@
         continue;
       }
       if (!state.leader) {
-        if (this.currentLeadership && !this.restarting)
+        if (this.currentLeadership && !this.isRestarting)
           this.loseLeadership('the leader key no longer exists');
         if (!this.currentLeadership && this.clock.now() < this.resignationBackoffUntil) {
           await sleep(this.clock, RESIGNATION_RECHECK_MS);
@@ -197,7 +198,7 @@
       } else if (
         this.currentLeadership &&
         state.leader.record.lease !== this.currentLeadership.lease &&
-        !this.restarting
+        !this.isRestarting
       ) {
         this.loseLeadership('another controller is the leader');
       }
@@ -311,7 +312,7 @@
    */
   async raiseFencingToken(reason: string): Promise<boolean> {
     const { currentLeadership: leadership } = this;
-    if (!leadership || this.restarting || this.raisingToken) return false;
+    if (!leadership || this.isRestarting || this.raisingToken) return false;
     this.raisingToken = true;
     try {
       const state = await this.readElectionState();
@@ -342,14 +343,21 @@
    * Starts a new term under the same lease after a commit with an unknown outcome, which may still be applied later. The new term
    * makes all writes in flight fail, and the cluster state is loaded again from the store.
    */
-  restartTerm(reason: string): Promise<void> {
-    this.restarting ??= this.restartTermOnce(reason).finally(() => (this.restarting = undefined));
-    return this.restarting;
+  async restartTerm(reason: string): Promise<void> {
+    const { currentLeadership } = this;
+    if (!currentLeadership) return;
+    // The restart of an earlier leadership may still wait for the store. It ends without an effect, and does not count for this one.
+    if (!this.isRestarting)
+      this.restart = { of: currentLeadership, done: this.replaceTerm(currentLeadership, reason) };
+    await this.restart?.done;
   }
 
-  private async restartTermOnce(reason: string): Promise<void> {
-    const previous = this.currentLeadership;
-    if (!previous) return;
+  /** Whether the present leadership is being replaced by a new term of this controller. */
+  private get isRestarting(): boolean {
+    return this.restart !== undefined && this.restart.of === this.currentLeadership;
+  }
+
+  private async replaceTerm(previous: Leadership, reason: string): Promise<void> {
     this.log.info('term-restarted', { term: previous.term, why: reason });
     for (;;) {
       if (this.currentLeadership !== previous) return;
