Ends of a large array are recorded in as many transactions as they need

An array of more than 8,192 tasks has a completion record for each 4,096 tasks. Where its ends fell into more records than one transaction may write (11 of 12 operations), none of them was recorded until fewer did: of an array of 100,000 tasks at 4,000 machines, or at lower limits of the state service, possibly never.

The records that fit are written, and the others by the next transactions. Where shared records name the job, all of its records still go together.

job-writes.test.ts (ends in 13 records): fails before, passes now.

--- a/src/coordination/completion/job-completion.ts
+++ b/src/coordination/completion/job-completion.ts
@@ -164,8 +164,8 @@
 ): TransactionPart | undefined {
   const { cluster, batch } = request;
   const { job } = request.ended;
-  const apply = (): void => {
-    for (const placement of completed) {
+  const applyTo = (placements: readonly Placement[]): void => {
+    for (const placement of placements) {
       job.done.add(placement.index);
       closePlacement(cluster, placement);
     }
@@ -174,25 +174,42 @@
     job.spec.tasks > MAX_TASKS_FOR_SHARED_RECORD || job.completionBatches.size >= MAX_SHARED_RECORDS_PER_JOB;
   if (!needsOwnRecords) {
     if (batch.addCompleted(job, indicesOf(completed))) {
-      return { conditions: [], changes: [], placementCount: completed.length, apply };
+      return {
+        conditions: [],
+        changes: [],
+        placementCount: completed.length,
+        apply: () => applyTo(completed),
+      };
     }
     // No space is left beside other jobs: the tasks wait for the next batch. Tasks too many for an empty batch go to the job's own
     // records.
     if (!batch.isEmpty) return undefined;
   }
-  const indicesByChunk = groupByChunk(job, completed);
-  if (indicesByChunk.size > request.maxChanges) return undefined;
+  const indicesByChunk = fittingChunks(job, groupByChunk(job, completed), request.maxChanges);
+  if (indicesByChunk.size === 0) return undefined;
+  const written = completed.filter(({ index }) => indicesByChunk.has(completionChunkOf(index)));
   const part = chunkPart(cluster, job, indicesByChunk);
   return {
     ...part,
-    placementCount: completed.length,
+    placementCount: written.length,
     apply(modRevision) {
-      apply();
+      applyTo(written);
       part.apply(modRevision);
     },
   };
 }
 
+/** Returns as many chunks as one transaction can write. If shared records name the job, only all of them together can replace these. */
+function fittingChunks(
+  job: Job,
+  indicesByChunk: ReadonlyMap<number, readonly number[]>,
+  maxChanges: number,
+): ReadonlyMap<number, readonly number[]> {
+  if (indicesByChunk.size <= maxChanges) return indicesByChunk;
+  const isDivisible = job.completionBatches.size === 0 && maxChanges > 0;
+  return new Map(isDivisible ? [...indicesByChunk].slice(0, maxChanges) : []);
+}
+
 /** Groups completed tasks by chunk record. If shared records name the job, all chunks are written, to take over their contents. */
 function groupByChunk(job: Job, completed: readonly Placement[]): Map<number, number[]> {
   const indicesByChunk = new Map<number, number[]>();
--- a/test/job-writes.test.ts
+++ b/test/job-writes.test.ts
@@ -19,7 +19,8 @@
   ZoneName,
 } from '../src/protocol/ids.js';
 import type { JobSpec } from '../src/protocol/jobs.js';
-import { Keys } from '../src/storage/records.js';
+import type { CompletionTransaction } from '../src/coordination/completion/transaction-part.js';
+import { Keys, TASKS_PER_COMPLETION_CHUNK } from '../src/storage/records.js';
 import type { SteadyMs } from '../src/transport/clock.js';
 import { silentLog } from '../src/transport/log.js';
 import { addQueuedJobs, buildJobSpec } from './simulator/cluster-state-builders.js';
@@ -33,6 +34,7 @@
 const NOW = 1000 as SteadyMs;
 const FIRST = 'req-000001' as JobId;
 const SECOND = 'req-000002' as JobId;
+const TXN_OPS = 12;
 
 function clusterWith(...specs: JobSpec[]): { cluster: ClusterState; jobs: Job[] } {
   const cluster = new ClusterState(TERM);
@@ -58,14 +60,17 @@
   return placement;
 }
 
-const completedJobs = (cluster: ClusterState): JobId[] =>
+const nextTransaction = (cluster: ClusterState): CompletionTransaction | undefined =>
   nextCompletionTransaction(cluster, {
-    txnOps: 12,
+    txnOps: TXN_OPS,
     valueKb: 8,
     batchKey: Keys.completionBatch(TERM, 1),
     batchDue: true,
     requeueDue: true,
-  })?.completedJobs.map((job) => job.id) ?? [];
+  });
+
+const completedJobs = (cluster: ClusterState): JobId[] =>
+  nextTransaction(cluster)?.completedJobs.map((job) => job.id) ?? [];
 
 describe('the completion transaction', () => {
   it('completes no cancelled job while a plan that names it has no answer', () => {
@@ -114,6 +119,24 @@
   return { listener: new JobRecordListener(dependencies), restarts };
 }
 
+describe('ends of a large array in more records than one transaction writes', () => {
+  // An array with ends in 13 records recorded none of them, since all together did not fit.
+  it('are recorded in several transactions', () => {
+    const { cluster, jobs } = clusterWith(buildJobSpec(FIRST, { tasks: 100_000 }));
+    const [job] = jobs as [Job];
+    const chunks = TXN_OPS + 1;
+    for (let chunk = 0; chunk < chunks; chunk++)
+      addEndedTask(cluster, job, chunk * TASKS_PER_COMPLETION_CHUNK);
+    for (let written = 0; written < chunks; written = job.done.count) {
+      const transaction = nextTransaction(cluster);
+      assert.ok(transaction && transaction.changes.length < TXN_OPS);
+      transaction.apply(9n as ModRevision);
+      assert.ok(job.done.count > written);
+    }
+    assert.equal(cluster.pendingCompletions.size, 0);
+  });
+});
+
 describe('the removal of a job record', () => {
   const REMOVED_AT = 9n as ModRevision;
 
