A late frame of an ended process does not silence the present one of a peer

A frame of an incarnation that this controller had never seen, sent before the present one began, arrived late and was taken for a restart. From then on all frames of the present process were dropped, until it ended.

Incarnations have no order, so presence is proved in another way: who answers a ping that was sent after the change is the present process.

--- a/src/coordination/election/peer-gossip.ts
+++ b/src/coordination/election/peer-gossip.ts
@@ -26,6 +26,8 @@
   latestIncarnation: number;
   /** Earlier incarnations, whose delayed frames are dropped. */
   readonly pastIncarnations: Set<number>;
+  /** Number of the last ping that was sent to any peer before `latestIncarnation` changed. */
+  lastPingBeforeChange: number;
   /** When the first answer of `incarnation` arrived. */
   incarnationSeenAt: SteadyMs;
   /** When the newest answered ping was sent. */
@@ -62,6 +64,15 @@
   return undefined;
 }
 
+/**
+ * Whether a frame of an incarnation that was taken for a past one proves that it is the present one: it answers a ping that was sent
+ * after the change. The change was then due to a late frame of an incarnation that had ended before.
+ */
+const provesPresence = (peer: Peer, frame: Frame): boolean =>
+  frame.kind === FrameKind.Pong &&
+  frame.number > peer.lastPingBeforeChange &&
+  peer.pendingPings.has(frame.number);
+
 /**
  * Exchanges between controllers: the newest term and the cancelled jobs that each knows. Both let a leader without the store
  * answer heartbeats for a while without renewing leases past the bound on cancellations.
@@ -99,6 +110,7 @@
       incarnation: 0,
       latestIncarnation: 0,
       pastIncarnations: new Set(),
+      lastPingBeforeChange: 0,
       incarnationSeenAt: never,
       answeredPingAt: never,
       completeAnswerPingAt: never,
@@ -231,12 +243,13 @@
   private receive(frame: Frame): void {
     const peer = this.peers.find((p) => p.member === frame.from);
     if (!peer) return;
-    if (peer.pastIncarnations.has(frame.incarnation)) return;
+    if (peer.pastIncarnations.has(frame.incarnation) && !provesPresence(peer, frame)) return;
     const error = frameError(frame);
     if (error !== undefined) return this.logRejection(peer, error);
     peer.refusals = 0;
-    const restarted = peer.latestIncarnation !== 0 && frame.incarnation !== peer.latestIncarnation;
-    if (restarted) peer.pastIncarnations.add(peer.latestIncarnation);
+    const changed = peer.latestIncarnation !== 0 && frame.incarnation !== peer.latestIncarnation;
+    const restarted = changed && !peer.pastIncarnations.has(frame.incarnation);
+    if (changed) this.changeIncarnation(peer, frame.incarnation);
     peer.latestIncarnation = frame.incarnation;
     let term: Term;
     try {
@@ -286,6 +299,12 @@
     }
   }
 
+  private changeIncarnation(peer: Peer, incarnation: number): void {
+    peer.pastIncarnations.add(peer.latestIncarnation);
+    peer.pastIncarnations.delete(incarnation);
+    peer.lastPingBeforeChange = this.lastPingNumber;
+  }
+
   /**
    * Adds the cancellations that the peer lists. Returns whether all of the peer's cancellations are now known: the list continues at
    * the known position and reaches the peer's last entry. A list after a gap, or no list at all, confirms nothing.
--- a/test/peer-gossip.test.ts
+++ b/test/peer-gossip.test.ts
@@ -73,6 +73,24 @@
     isIsolated: isIsolated,
   });
 
+test('a late frame of an incarnation that was never seen does not silence the present one', async () => {
+  const harness = createPeerLinkHarness(7);
+  harness.receive({ kind: FrameKind.Ping, incarnation: 50 });
+  const [pingBefore] = harness.sent;
+  // A frame that the process before the present one sent arrives late, and is taken for a restart.
+  harness.receive({ kind: FrameKind.Ping, incarnation: 49 });
+  assert.deepEqual(harness.restarted, ['b']);
+  harness.receive({ incarnation: 50, number: pingBefore!.number });
+  assert.equal(harness.peers.allUnresponsiveFor(1000), true);
+  await harness.time.runUntil(1000, () => undefined);
+  const pingAfter = harness.sent.findLast((frame) => frame.kind === FrameKind.Ping);
+  harness.receive({ incarnation: 50, number: pingAfter!.number });
+  assert.equal(harness.peers.allUnresponsiveFor(1000), false);
+  // From now on frames of the earlier process are dropped, and that was no second restart.
+  harness.receive({ kind: FrameKind.Ping, incarnation: 49 });
+  assert.deepEqual(harness.restarted, ['b']);
+});
+
 test('an isolated leader turns each agent away once per period of isolation', () => {
   let isolated = false;
   const leader = createIsolatedLeader(6, 30, () => isolated);
