A leader that is cut off from the state service repeats no call to the cloud

Returns and rentals without an answer were repeated as long as the term was current, not only while this controller is certainly the leader.

The calls are repeated only while the leader can decide. cloud-calls.test.ts fails before and passes now.

--- a/src/coordination/fleet/scale-in.ts
+++ b/src/coordination/fleet/scale-in.ts
@@ -3,6 +3,7 @@
 import { jitter, type Random } from '../../transport/random.js';
 import type { MachineId } from '../../protocol/ids.js';
 import { MAX_MACHINES_PER_RETURN, type CloudClient } from '../../storage/cloud-client.js';
+import type { LeaderElection } from '../election/leader-election.js';
 import type { FleetClusterState } from '../leader/cluster-state-views.js';
 
 const RETRY_MS = 500;
@@ -26,6 +27,8 @@
   readonly cluster: FleetClusterState;
   /** Whether this leader's term is still current. */
   readonly isActive: () => boolean;
+  /** Tells whether this controller is certainly the leader: one that is cut off from the store repeats no call. */
+  readonly election: Pick<LeaderElection, 'canDecide'>;
   /** Requests a scheduling cycle. */
   readonly wake: () => void;
 }
@@ -66,15 +69,15 @@
   }
 
   private async send(ids: readonly MachineId[], reason: ScaleInReason): Promise<void> {
-    const { clock, random, log, cloud, isActive, wake } = this.dependencies;
+    const { clock, random, log, cloud, election, isActive, wake } = this.dependencies;
     const names = ids.filter((id) => !this.inProgress.has(id)).slice(0, MAX_MACHINES_PER_RETURN);
     if (names.length === 0) return;
     this.takeOutOfUse(names);
     log.info('scale-in-requested', { machines: names.join(' '), reason });
     for (let attempt = 0; isActive(); attempt++) {
-      const result = await cloud.returnMachines(names);
+      const result = election.canDecide() ? await cloud.returnMachines(names) : undefined;
       if (!isActive()) return;
-      if (result.ok) {
+      if (result?.ok) {
         this.removeReturned(names);
         log.info('scale-in-completed', { machines: names.join(' ') });
         break;
--- a/src/coordination/fleet/scale-out.ts
+++ b/src/coordination/fleet/scale-out.ts
@@ -4,7 +4,7 @@
 import type { ScaleOutRequest } from '../../protocol/cloud.js';
 import type { MachineId } from '../../protocol/ids.js';
 import type { CloudClient } from '../../storage/cloud-client.js';
-import type { Leadership } from '../election/leader-election.js';
+import type { Leadership, LeaderElection } from '../election/leader-election.js';
 import type { FleetClusterState } from '../leader/cluster-state-views.js';
 import type { MachineRequest } from './fleet-snapshot.js';
 import { machineKindKey } from './machine-kind.js';
@@ -26,6 +26,8 @@
   readonly cluster: FleetClusterState;
   /** Whether this leader's term is still current. */
   readonly isActive: () => boolean;
+  /** Tells whether this controller is certainly the leader: one that is cut off from the store repeats no call. */
+  readonly election: Pick<LeaderElection, 'canDecide'>;
   /** Requests a scheduling cycle. */
   readonly wake: () => void;
 }
@@ -58,18 +60,18 @@
   }
 
   private async send(request: ScaleOutRequest): Promise<void> {
-    const { clock, random, log, cloud, isActive, wake } = this.dependencies;
+    const { clock, random, log, cloud, election, isActive, wake } = this.dependencies;
     const kind = machineKindKey(request.type, request.zone, request.spot);
     this.unanswered.add(request);
     const requestedAt = clock.now();
     log.info('scale-out-requested', { request: request.request, kind, count: request.count });
     for (let attempt = 0; isActive() && attempt < MAX_ATTEMPTS; attempt++) {
-      const result = await cloud.provisionMachines(request);
-      if (result.ok) {
+      const result = election.canDecide() ? await cloud.provisionMachines(request) : undefined;
+      if (result?.ok) {
         this.addMachines(request, result.value, requestedAt);
         break;
       }
-      if (result.error.kind === 'no capacity') {
+      if (result?.error.kind === 'no capacity') {
         this.pauseRequests(kind);
         break;
       }
