A job that failed everywhere for a while is placed as a whole again once a task of it runs

Seen (simulated): all machines fail whatever runs on them for 20 s. Afterwards a service of three replicas stays at one, and an array of long tasks runs one task at a time beside free machines (left_waiting).

Cause: a job that failed on two machines counts as failing everywhere, and is placed one task at a time until a task completes. A service never completes, and an array of long tasks not for minutes.

Fix: a task that has run for 20 s, or for twice the longest run that failed, shows that the job is sound, and its failures are forgotten. 20 s and the longest delay between attempts (60 s) are less than the 90 s for which no job may wait beside free capacity.

--- a/src/cluster/entities.ts
+++ b/src/cluster/entities.ts
@@ -85,6 +85,8 @@
   readonly failedOn: Set<MachineId>;
   /** Failures since one of its tasks last completed, each counted. */
   failuresSinceCompletion: number;
+  /** The longest that one of its tasks ran before it failed, in ms. */
+  longestFailedRunMs: number;
   /** Whether it was found to fail everywhere, so that its failures no longer count against machines. */
   machinesExonerated: boolean;
   /** All failures that this leader has seen. */
--- a/src/cluster/new-entities.ts
+++ b/src/cluster/new-entities.ts
@@ -39,6 +39,7 @@
     backoffFailures: 0,
     failedOn: new Set(),
     failuresSinceCompletion: 0,
+    longestFailedRunMs: 0,
     machinesExonerated: false,
     totalFailures: 0,
     backedOff: false,
--- a/src/coordination/heartbeats/task-failures.ts
+++ b/src/coordination/heartbeats/task-failures.ts
@@ -25,6 +25,13 @@
 /** Base of the quarantine, doubled for each job that failed on the machine. */
 const QUARANTINE_BASE_S = 5;
 
+/**
+ * A task of a job that fails everywhere shows that the job is sound by running for this long, or for a multiple of the longest run that
+ * failed. Together with the longest delay between attempts it is less than the 90 s for which no job may wait beside free capacity.
+ */
+const MIN_SOUND_RUN_MS = 20_000;
+const SOUND_RUN_PER_FAILED_RUN = 2;
+
 /** Dependencies of the functions that record failures. */
 export interface TaskFailureContext {
   readonly cluster: Pick<AgentClusterState, 'machines' | 'jobsWithUncountedFailures'>;
@@ -42,7 +49,7 @@
   const task = `${job.id}/${placement.index}`;
   switch (cause) {
     case 'error':
-      recordFailure(context, job, machine, now);
+      recordFailure(context, placement, now);
       context.log.info('task-failed', {
         task,
         machine: machine.id,
@@ -67,7 +74,39 @@
   }
 }
 
-function recordFailure(context: TaskFailureContext, job: Job, machine: Machine, now: SteadyMs): void {
+/** Forgets the failures of a job that has been found to be sound. */
+export function clearFailures(job: Job): void {
+  job.backoffFailures = 0;
+  job.failedOn.clear();
+  job.failuresSinceCompletion = 0;
+  job.longestFailedRunMs = 0;
+}
+
+/**
+ * Clears the failures of jobs that counted as failing everywhere, and of which a task has run for long enough. A completion shows the same,
+ * but a service never completes, and an array of long tasks not for minutes: after a spell in which all machines failed them, they would
+ * be placed one task at a time.
+ */
+export function clearFailuresOfSoundJobs(jobs: Iterable<Job>, now: SteadyMs): void {
+  for (const job of jobs) {
+    if (failsEverywhere(job) && hasSoundTask(job, now)) clearFailures(job);
+  }
+}
+
+function hasSoundTask(job: Job, now: SteadyMs): boolean {
+  const minRunMs = Math.max(MIN_SOUND_RUN_MS, SOUND_RUN_PER_FAILED_RUN * job.longestFailedRunMs);
+  for (const { runningSince, ended } of job.placements.values()) {
+    if (!ended && runningSince !== undefined && now - runningSince >= minRunMs) return true;
+  }
+  return false;
+}
+
+function recordFailure(
+  context: TaskFailureContext,
+  { job, machine, runningSince }: Placement,
+  now: SteadyMs,
+): void {
+  job.longestFailedRunMs = Math.max(job.longestFailedRunMs, now - (runningSince ?? now));
   job.totalFailures++;
   context.cluster.jobsWithUncountedFailures.add(job);
   job.failedOn.add(machine.id);
--- a/src/coordination/heartbeats/task-status.ts
+++ b/src/coordination/heartbeats/task-status.ts
@@ -3,7 +3,7 @@
 import type { ReportedTask } from '../../protocol/heartbeats.js';
 import type { Placement } from '../../cluster/cluster-state.js';
 import type { HeartbeatContext } from './heartbeat-context.js';
-import { recordFailedExit } from './task-failures.js';
+import { clearFailures, recordFailedExit } from './task-failures.js';
 
 /** Applies the status of a placement's attempt in a heartbeat. The presence of the task also resolves an in-doubt start. */
 export function applyTaskStatus(
@@ -32,9 +32,7 @@
 
 function recordCompletion(context: HeartbeatContext, placement: Placement, now: SteadyMs): void {
   const { job, machine, runningSince } = placement;
-  job.backoffFailures = 0;
-  job.failedOn.clear();
-  job.failuresSinceCompletion = 0;
+  clearFailures(job);
   machine.failedJobs.clear();
   // The duration is no estimate of a full run if the task may have resumed from a checkpoint, or is of a gang or service.
   if (runningSince !== undefined && job.spec.kind === 'array' && job.spec.checkpointS === 0) {
--- a/src/coordination/scheduling/scheduling-loop.ts
+++ b/src/coordination/scheduling/scheduling-loop.ts
@@ -4,6 +4,7 @@
 import { mayPlaceTasks, waitingTaskCount, type Machine } from '../../cluster/cluster-state.js';
 import type { CommandDispatcher } from '../dispatch/command-dispatcher.js';
 import type { HeartbeatMonitor } from '../heartbeats/heartbeat-monitor.js';
+import { clearFailuresOfSoundJobs } from '../heartbeats/task-failures.js';
 import type { SchedulingClusterState } from '../leader/cluster-state-views.js';
 import type { FencedWriter } from '../leader/fenced-writer.js';
 import type { LeaderContext } from '../leader/leader-context.js';
@@ -167,6 +168,7 @@
   private async runCycle(): Promise<void> {
     const { cluster, dependencies } = this.context;
     if (!cluster) return;
+    clearFailuresOfSoundJobs(cluster.jobs.values(), dependencies.clock.now());
     const reserved = hasWaitingTasks(cluster) ? CHANGES_PER_COMMIT : 0;
     // Writes are reserved before planning: a plan made before a long wait for them would rest on stale state.
     if (reserved > 0 && !(await dependencies.store.reserveWrites(reserved, RequestPriority.Scheduling))) {
