Unused functions and a result that is always true are gone

createCycleOrder, addAmounts, MutableResourceAmounts and ElasticJobManager.widthChanges were used by nothing; acquireLeadership always returned true, which its one caller tested. No change in behaviour.

--- a/src/coordination/elastic/elastic-job-manager.ts
+++ b/src/coordination/elastic/elastic-job-manager.ts
@@ -51,8 +51,6 @@
   private readonly borrowedOnlySince = new Map<MachineId, SteadyMs>();
   private readonly closedMachines = new Set<MachineId>();
   readonly reclamations: Reclamations;
-  /** Number of width changes in this term. */
-  widthChanges = 0;
 
   constructor(
     private readonly dependencies: ElasticDependencies,
@@ -114,7 +112,6 @@
     to: number,
     units: { idleUnits: number; waitingUnits: number; headRoomUnits: number },
   ): void {
-    this.widthChanges++;
     // The width belongs to the record's next generation. The status writer persists the record at low priority, or the next
     // plan with tasks of the job claims it.
     job.record = { ...job.record, generation: job.record.generation + 1, width: to };
--- a/src/coordination/election/leader-election.ts
+++ b/src/coordination/election/leader-election.ts
@@ -186,7 +186,10 @@
           const recheckedState = await this.readElectionState();
           if (!recheckedState || recheckedState.leader) continue;
         }
-        if (!this.currentLeadership && (await this.acquireLeadership(state))) continue;
+        if (!this.currentLeadership) {
+          await this.acquireLeadership(state);
+          continue;
+        }
       } else if (
         state.leader.record.member === this.self &&
         state.leader.record.lease !== this.currentLeadership?.lease
@@ -242,22 +245,21 @@
   private async acquireLeadership(
     state: ElectionState,
     expectedModRevision: ModRevision = NO_REVISION,
-  ): Promise<boolean> {
+  ): Promise<void> {
     const sentAt = this.clock.now();
     const lease = await this.store.grantLease(this.leaseMs);
     if (!lease.ok) {
       await sleep(this.clock, jitter(this.random, 200));
-      return true;
+      return;
     }
     const leadership = await this.writeLeaderRecord(state, lease.value, expectedModRevision);
-    if (leadership && this.currentLeadership) return true;
+    if (leadership && this.currentLeadership) return;
     if (!leadership) {
       void this.store.endLease(lease.value);
       await sleep(this.clock, jitter(this.random, 100));
-      return true;
+      return;
     }
     this.becomeLeader(leadership, sentAt);
-    return true;
   }
 
   private becomeLeader(leadership: Leadership, grantRequestedAt?: SteadyMs): void {
--- a/src/coordination/scheduling/queue-order.ts
+++ b/src/coordination/scheduling/queue-order.ts
@@ -35,22 +35,6 @@
     a.record.acceptedAt - b.record.acceptedAt ||
     compareIds(a.id, b.id);
 
-/** Creates the queue order of one cycle, which computes the due time of each job at most once. */
-export function createCycleOrder(
-  snapshot: SchedulingSnapshot,
-  withinGuarantee: ReadonlySet<JobId>,
-): QueueOrder {
-  const dueTimes = new Map<Job, number>();
-  return createQueueOrder(withinGuarantee, (job) => {
-    let dueTime = dueTimes.get(job);
-    if (dueTime === undefined) {
-      dueTime = dueAt(job, snapshot);
-      dueTimes.set(job, dueTime);
-    }
-    return dueTime;
-  });
-}
-
 /**
  * When an array or gang is due, in milliseconds: at its own deadline, or at the first of its class's
  * objectives that it can still meet. Work that can meet none goes behind other work of its rank, since serving it
--- a/src/coordination/scheduling/resources.ts
+++ b/src/coordination/scheduling/resources.ts
@@ -1,5 +1,3 @@
-import type { ResourceUsage } from '../../cluster/cluster-state.js';
-
 /**
  * Amounts of the three schedulable resources and how they compare. This module knows nothing of machines,
  * jobs or scheduling cycles.
@@ -14,11 +12,6 @@
   readonly memoryGb: number;
 }
 
-/** Amounts that a search adds to and subtracts from. */
-export interface MutableResourceAmounts extends ResourceUsage {
-  memoryGb: number;
-}
-
 /** Tolerance for sums of fractional CPUs and gigabytes. */
 export const RESOURCE_EPSILON = 1e-9;
 
@@ -31,13 +24,6 @@
   available.gpus + RESOURCE_EPSILON >= requested.gpus &&
   available.memoryGb + RESOURCE_EPSILON >= requested.memoryGb;
 
-/** Adds the second amounts to the first. */
-export function addAmounts(total: MutableResourceAmounts, added: ResourceAmounts): void {
-  total.cpus += added.cpus;
-  total.gpus += added.gpus;
-  total.memoryGb += added.memoryGb;
-}
-
 /** How often the request fits into what is available; at least 1, also for a request of nothing. */
 export function countFitting(available: ResourceAmounts, requested: ResourceAmounts): number {
   const count = Math.min(
