--- a/test/breaches.test.ts
+++ b/test/breaches.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../src/protocol/jobs.js';
-import type { Attempt, JobId, TaskIndex } from '../src/protocol/ids.js';
+import type { Attempt, JobId, TaskIndex, Term } from '../src/protocol/ids.js';
+import { attemptOf, Keys } from '../src/storage/records.js';
 import type { Command } from '../src/protocol/heartbeats.js';
 import { ok } from '../src/transport/result.js';
 import { runScenario } from './simulator/scenario-runner.js';
@@ -23,6 +24,9 @@
   attempt: 99n as Attempt,
 });
 
+/** The attempt of the tasks of the first plan. */
+const FIRST_ATTEMPT = attemptOf(1n as Term, 1);
+
 function onMachine(cluster: SimulatedCluster, id: string, command: Command): void {
   cluster.cloud.machines.get(id)!.agent!.execute(command);
 }
@@ -125,6 +129,52 @@
         call(...a).then((r) => (r.ok && r.value.status === 400 ? ok({ ...r.value, status: 201 }) : r));
     },
   },
+  {
+    rule: 'told_late',
+    at: 3,
+    text: 'until 100',
+    inject: (cluster) => {
+      const { checker, time } = cluster;
+      checker.submitted({ ...cluster.jobs.get('req-000001')!.spec, id: 'req-000008' as JobId });
+      checker.recordAnswer('req-000008', 201, 'queued', 'submit');
+      for (const index of [0, 1]) checker.completed('req-000008', index);
+      const ask = (): void => checker.recordAnswer('req-000008', 200, 'running', 'poll');
+      for (const afterS of [40, 80, 91]) time.after(afterS * 1000, ask);
+    },
+  },
+  {
+    rule: 'forgotten_early',
+    at: 8,
+    inject: (cluster) => {
+      const command = { ...start('req-000001', 0), attempt: FIRST_ATTEMPT };
+      onMachine(cluster, 'm-000000', { ...command, op: 'stop', graceS: 0 });
+      onMachine(cluster, 'm-000000', { ...command, op: 'forget' });
+    },
+  },
+  {
+    rule: 'removed_unanswered',
+    at: 8,
+    inject: ({ store }) => {
+      const conditions = [
+        { key: Keys.leader, modRevision: 1 },
+        { key: Keys.job('req-000001' as JobId), modRevision: 2 },
+      ];
+      store.transactionChecker.committed({ conditions, puts: ['plan/1'], deletes: [] });
+      store.transactionChecker.committed({ conditions, puts: [], deletes: [conditions[1]!.key] });
+    },
+  },
+  {
+    rule: 'refused_again',
+    at: 8,
+    inject: ({ store }) => {
+      const conditions = [
+        { key: Keys.leader, modRevision: 1 },
+        { key: Keys.job('req-000001' as JobId), modRevision: 2 },
+      ];
+      for (let i = 0; i < 4; i++)
+        store.transactionChecker.refused({ conditions, puts: [], deletes: [] }, [conditions[1]!.key]);
+    },
+  },
 ];
 
 test('a question that was on its way together with the news may cross them', async () => {
--- a/test/search.test.ts
+++ b/test/search.test.ts
@@ -23,13 +23,15 @@
 /** Seeds whose first days expose each fault; longer searches find it with nearly any seed. */
 const SEEDS: Readonly<Record<string, number>> = {
   'a delayed copy of a heartbeat is accepted as current': 1,
-  'an isolated leader answers agents indefinitely': 3,
+  'an isolated leader answers agents indefinitely': 1,
   'a leader that is loading the cluster state stops no cancelled tasks': 2,
   'writes omit the fencing condition': 1,
   'a completed task is removed before its completion is persisted': 1,
-  'a delayed completion record overwrites a newer one': 10,
+  'a delayed completion record overwrites a newer one': 3,
   'reads are answered from a job cache that was not synced': 1,
-  'a delayed delete removes a key that was created again': 1,
+  'a delayed delete removes a key that was created again': 5,
+  'a job is completed while a plan that names it has no answer': 12,
+  'ended attempts are forgotten while their starts may be repeated': 2,
   'a reservation never ends': 1,
   'a quarantine never ends': 1,
 };
--- a/test/search/faults.ts
+++ b/test/search/faults.ts
@@ -2,6 +2,7 @@
 import { ClusterState, type Job, type Machine } from '../../src/cluster/cluster-state.js';
 import type { StoreKey } from '../../src/protocol/ids.js';
 import { err } from '../../src/transport/result.js';
+import type { Command } from '../../src/protocol/heartbeats.js';
 import { FencedWriter, type FencedWriterDependencies } from '../../src/coordination/leader/fenced-writer.js';
 import { CancelledJobStops } from '../../src/coordination/dispatch/cancelled-job-stops.js';
 import {
@@ -155,6 +156,38 @@
       return run.call(this);
     });
   },
+  'a job is completed while a plan that names it has no answer': (undo) => {
+    const { addJob } = prototypeOf(ClusterState) as { addJob: ClusterState['addJob'] };
+    replaceMember(
+      undo,
+      prototypeOf(ClusterState),
+      'addJob',
+      function (this: ClusterState, ...a: Parameters<ClusterState['addJob']>) {
+        return Object.defineProperty(addJob.apply(this, a), 'unansweredWrite', {
+          get: () => undefined,
+          set: () => undefined,
+        });
+      },
+    );
+  },
+  // An agent is left to remember 64 ended attempts, and told to forget the others at once.
+  'ended attempts are forgotten while their starts may be repeated': (undo) => {
+    const { complete } = prototypeOf(CancelledJobStops) as { complete: CancelledJobStops['complete'] };
+    replaceMember(
+      undo,
+      prototypeOf(CancelledJobStops),
+      'complete',
+      function (this: CancelledJobStops, ...a: Parameters<CancelledJobStops['complete']>) {
+        const [heartbeat, , placements] = a;
+        const placed = new Set([...placements].map((placement) => placement.attempt));
+        const ended = heartbeat.tasks.filter(
+          (task) => task.state === 'exited' && task.cause !== 'done' && !placed.has(task.attempt),
+        );
+        const forgets = ended.slice(64).map((task): Command => ({ ...task, op: 'forget' }));
+        return complete.apply(this, a)?.concat(forgets);
+      },
+    );
+  },
   // Free capacity stays reserved for jobs that cannot be placed, and is never opened to others for a while.
   'a reservation never ends': (undo) => {
     replaceMember(undo, prototypeOf(GangReservations), 'mayReserve', () => true);
--- a/test/search/schedule.ts
+++ b/test/search/schedule.ts
@@ -114,7 +114,7 @@
     fc.constantFrom('plan/', 'finished/', 'end/', 'job/', 'term/'),
     fc.constantFrom(1, 2, 3),
     fc.oneof(
-      fc.constantFrom('crash-before', 'crash-after', 'lose-reply'),
+      fc.constantFrom('crash-before', 'crash-after', 'lose-reply', 'slow-answer 0.4', 'slow-answer 1'),
       faultLengthS.map((s) => `hold ${s}`),
       faultLengthS.map((s) => `outage ${s}`),
     ),
@@ -345,6 +345,45 @@
     ]),
 );
 
+/** A task of which a machine can run and retain many. */
+const SMALL_TASK = 'cpus=0.05 gpus=0.02 mem=0.1 gb=0';
+
+/** Answers and repeats that meet a cancellation or a failure: each has broken an invariant (`docs/incidents`, 2026-12-04). */
+const answerScene: fc.Arbitrary<readonly string[]> = fc.oneof(
+  // Answers to commits take some hundred milliseconds longer while users cancel what was just planned.
+  fc
+    .tuple(
+      fc.constantFrom('plan/', 'end/', 'finished/', 'job/'),
+      fc.constantFrom(1, 2),
+      fc.constantFrom(0.3, 0.6, 1),
+      fc.constantFrom(0.1, 0.2, 0.3, 0.5),
+      anyLongJob,
+    )
+    .map(([prefix, nth, delayS, cancelAfterS, longJob]) => [
+      `hook ${prefix} ${nth} slow-answer ${delayS}`,
+      longJob.submit,
+      delayed(cancelAfterS, longJob.cancel),
+      delayed(cancelAfterS + 2, 'submits 2 req-000590 blue array tasks=2 run=3 gb=0'),
+    ]),
+  // A machine retains many ended attempts, tasks fail or are moved away there, and starts that were carried out are repeated.
+  fc
+    .tuple(
+      fc.constantFrom(40, 140, 200),
+      fc.constantFrom('spoil m-000000 5', 'spoil m-000003 5', 'notice m-000003 5', 'restart m-000000'),
+      fc.constantFrom(3, LEASE_S, 3 * LEASE_S),
+      leaderFault,
+      fc.boolean(),
+    )
+    .map(([tasks, fault, lateS, leaderEnds, changesLeader]) => [
+      `submit req-000595 red array tasks=${tasks} run=60 zone=a spot ${SMALL_TASK}`,
+      delayed(4, 'cancel req-000595'),
+      delayed(5, `copies 14 1 ${lateS}`),
+      delayed(6, fault),
+      delayed(6.5, 'submits 2 req-000596 blue array tasks=4 run=9 spot gb=0'),
+      ...(changesLeader ? [delayed(9, leaderEnds)] : []),
+    ]),
+);
+
 /** Jobs that may be left waiting beside free capacity: behind a gang that can never be placed, or after machines failed tasks for a while. */
 const waitingScene: fc.Arbitrary<readonly string[]> = fc.oneof(
   fc
@@ -375,6 +414,7 @@
   { weight: 4, arbitrary: faultPair },
   { weight: 4, arbitrary: otherFaultPair },
   { weight: 2, arbitrary: waitingScene },
+  { weight: 2, arbitrary: answerScene },
   { weight: 1, arbitrary: faultLengthS.map((s) => [`hook end/ 1 hold ${s}`]) },
   {
     weight: 1,
--- a/test/simulator/answer-checker.ts
+++ b/test/simulator/answer-checker.ts
@@ -2,6 +2,11 @@
 import type { VirtualTime } from './virtual-time.js';
 
 const FORGOTTEN_MS = 75_000;
+/**
+ * No job is left waiting for longer than this once all troubles are over, for its `done` neither. That `done` is told within 3 s is an aim,
+ * of which a share may be missed where more jobs end at once than the state service has changes for.
+ */
+const LEFT_WAITING_MS = 90_000;
 
 export type RequestKind = 'submit' | 'poll' | 'cancel';
 
@@ -11,6 +16,10 @@
   /** Why it can't ever run; undefined where it can. */
   cannotRun(job: string): string | undefined;
   complete(job: string): boolean;
+  /** When the last task of the job completed; undefined where only a new start of a task can show it. */
+  completedAt(job: string): number | undefined;
+  /** When the last fault ends; 0 if there is none. */
+  faultsUntil(): number;
   recordViolation(rule: string, detail: string): void;
 }
 
@@ -82,11 +91,19 @@
     if (before && askedAt >= this.reportedAt.get(job)! && state !== before)
       facts.recordViolation('went_back', `${job} was ${before}, is ${state}`);
     if (state === 'done' && !facts.complete(job)) facts.recordViolation('not_done', job);
+    if (state !== 'done' && state !== 'cancelled' && this.isDoneExpected(job, askedAt))
+      facts.recordViolation('told_late', `${job} is called ${state}, and its tasks are done`);
     if (state === 'cancelled' && !this.cancelRequests.has(job))
       facts.recordViolation('went_back', `${job} called cancelled, nobody asked`);
     if (state === 'done' || state === 'cancelled') this.recordFinalState(job, state);
   }
 
+  private isDoneExpected(job: string, askedAt: number): boolean {
+    const completedAt = this.facts.completedAt(job);
+    if (completedAt === undefined) return false;
+    return askedAt > Math.max(completedAt, this.facts.faultsUntil()) + LEFT_WAITING_MS;
+  }
+
   private recordFinalState(job: string, state: 'done' | 'cancelled'): void {
     if (state === 'cancelled' && !this.cancelConfirmedAt.has(job))
       this.cancelConfirmedAt.set(job, this.time.now);
--- a/test/simulator/invariant-checker.ts
+++ b/test/simulator/invariant-checker.ts
@@ -26,6 +26,10 @@
   readonly jobs = new Map<string, JobSpec>();
   private readonly runningTasks = new Map<string, RunningTask>();
   private readonly doneTasks = new Map<string, Set<number>>();
+  /** When the last task of each job completed. */
+  private readonly completedAt = new Map<string, number>();
+  /** Jobs of which a machine lost a completion: their tasks have to be placed once more before anybody can know of it. */
+  private readonly jobsWithLostCompletions = new Set<string>();
   readonly answers: AnswerChecker;
   starts = 0;
   /** For each task that started after its job's cancellation was confirmed to the user: the delay in milliseconds. */
@@ -60,6 +64,8 @@
         return spec && this.cannotRun(spec);
       },
       complete: (job) => this.done(job) >= (this.jobs.get(job)?.tasks ?? 0),
+      completedAt: (job) => (this.jobsWithLostCompletions.has(job) ? undefined : this.completedAt.get(job)),
+      faultsUntil: () => this.faultsUntil,
       recordViolation: (rule, what) => this.recordViolation(rule, what),
     });
     this.starvation = new StarvationChecker(limits, (what) => this.recordViolation('left_waiting', what));
@@ -211,8 +217,14 @@
     const before = completedTasks.size;
     completedTasks.add(index);
     this.doneTasks.set(job, completedTasks);
-    if (completedTasks.size > before && completedTasks.size === this.jobs.get(job)?.tasks)
-      this.onComplete(job);
+    if (completedTasks.size === before || completedTasks.size !== this.jobs.get(job)?.tasks) return;
+    this.completedAt.set(job, this.time.now);
+    this.onComplete(job);
+  }
+
+  /** A machine that had not been told to forget the completed task of the job is gone, or its lease has expired. */
+  completionLost(job: string): void {
+    this.jobsWithLostCompletions.add(job);
   }
 
   /** The machine has forgotten the completed task; from now on only the store records its completion. */
--- a/test/simulator/simulated-agent.ts
+++ b/test/simulator/simulated-agent.ts
@@ -130,7 +130,7 @@
   /** The machine and all on it are gone. */
   terminate(): void {
     if (!this.alive) return;
-    for (const t of [...this.tasks.values()]) this.removeFromMachine(t);
+    this.loseTasks();
     this.alive = false;
     this.context.network.serve(this.address, undefined);
   }
@@ -174,7 +174,7 @@
 
   private checkLease(): void {
     if (this.context.time.now - this.leaseRenewedAt <= this.context.limits.leaseS * 1000) return;
-    for (const t of [...this.tasks.values()]) this.removeFromMachine(t);
+    this.loseTasks();
     this.tasks.clear();
     this.directStartTokens.clear();
     this.agentEpoch++;
@@ -182,6 +182,14 @@
     this.stateChanged = true;
   }
 
+  /** What ran here ends, and completions that were not to be forgotten yet are known to nobody else. */
+  private loseTasks(): void {
+    for (const task of [...this.tasks.values()]) {
+      if (task.cause === 'done') this.context.checker.completionLost(task.job);
+      this.removeFromMachine(task);
+    }
+  }
+
   private snapshot(): Heartbeat {
     this.sequence++;
     return {
