--- a/test/fair-share.test.ts
+++ b/test/fair-share.test.ts
@@ -16,7 +16,7 @@
 } from '../src/protocol/ids.js';
 import type { JobSpec } from '../src/protocol/jobs.js';
 import type { SteadyMs } from '../src/transport/clock.js';
-import { ClusterState, waitingTaskCount, type Machine } from '../src/cluster/cluster-state.js';
+import { ClusterState, waitingTaskCount, type Job, type Machine } from '../src/cluster/cluster-state.js';
 import { addQueuedJobs, buildJobSpec } from './simulator/cluster-state-builders.js';
 import { mean, runWorkload, type Workload, type WorkloadClass } from './simulator/workload.js';
 import { machineType, team } from './simulator/cluster-builders.js';
@@ -203,12 +203,19 @@
   assert.equal(reservations.reservedMachines.size, 0);
 });
 
-test('a reservation is abandoned when it expires and ends when its job is placed', () => {
+/** A gang of whole machines beside free ones, and the reservations for it: `updateAt` returns their changes, with the reasons. */
+function setUpReservations(): {
+  cluster: ClusterState;
+  machines: readonly Machine[];
+  gang: Job;
+  reservations: BackfillReservations;
+  updateAt: (now: number) => string[];
+} {
   const { cluster, machines } = buildCluster(
     [buildJobSpec('req-000001' as JobId, { ...SHAPES['whole'] })],
     2,
   );
-  const [gang] = [...cluster.jobs.values()];
+  const gang = [...cluster.jobs.values()][0]!;
   const reservations = new BackfillReservations();
   const snapshotAt = (now: number): Parameters<BackfillReservations['update']>[0] => ({
     now: now as SteadyMs,
@@ -216,7 +223,7 @@
     types: new Map([[BIG.name, BIG]]),
     estimates: new RuntimeEstimates(),
     usable: () => true,
-    blocked: gang!.placements.size > 0 ? [] : [gang!],
+    blocked: gang.placements.size > 0 || !cluster.jobs.has(gang.id) ? [] : [gang],
     mayPreempt: () => false,
     maxReservations: () => 1,
     maxReservedShare: 0.25,
@@ -225,13 +232,18 @@
     reservations
       .update(snapshotAt(now))
       .map((event) => ('reason' in event ? `${event.kind}: ${event.reason}` : event.kind));
+  return { cluster, machines, gang, reservations, updateAt };
+}
+
+test('a reservation is abandoned when it expires and ends when its job is placed', () => {
+  const { cluster, machines, gang, updateAt } = setUpReservations();
   assert.deepEqual(updateAt(1000), ['created']);
   // The machines are free but the job is not placed: other work may use them for a while.
   assert.deepEqual(updateAt(40_000), ['abandoned: its rooms took too long to become free']);
   assert.deepEqual(updateAt(50_000), []);
   assert.deepEqual(updateAt(61_000), ['created']);
   cluster.addPlacement(
-    gang!,
+    gang,
     0 as TaskIndex,
     1n as Attempt,
     machines[0]!,
@@ -241,3 +253,15 @@
   );
   assert.deepEqual(updateAt(62_000), ['ended: it has its rooms']);
 });
+
+test('a reservation ends with its job, and when the job is cancelled, and releases its machines', () => {
+  for (const end of ['removed', 'cancelled']) {
+    const { cluster, gang, reservations, updateAt } = setUpReservations();
+    assert.deepEqual(updateAt(1000), ['created']);
+    assert.ok(reservations.reservedMachines.size > 0);
+    if (end === 'removed') cluster.removeJob(gang);
+    else gang.cancelledAt = NOW;
+    assert.equal(updateAt(2000)[0], 'ended: the job has ended or was cancelled');
+    if (end === 'removed') assert.equal(reservations.reservedMachines.size, 0);
+  }
+});
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -56,7 +56,9 @@
 /** In-memory state service with its limits, as far as the list of pre-provisioned machines uses it. */
 function fakeStore(): Pick<StoreClient, 'get' | 'range' | 'txn'> & {
   readonly values: Map<string, unknown>;
+  leaderModRevision: ModRevision;
 } {
+  const leader = { modRevision: LEADER_MOD_REVISION };
   const values = new Map<string, unknown>();
   const entries = (prefix: string) =>
     [...values].flatMap(([key, value]) =>
@@ -64,12 +66,18 @@
     );
   const modRevisionOf = (condition: Condition): ModRevision =>
     condition.key === Keys.leader
-      ? LEADER_MOD_REVISION
+      ? leader.modRevision
       : values.has(condition.key)
         ? (1n as ModRevision)
         : NO_REVISION;
   return {
     values,
+    get leaderModRevision() {
+      return leader.modRevision;
+    },
+    set leaderModRevision(modRevision) {
+      leader.modRevision = modRevision;
+    },
     get: (key) => Promise.resolve(ok(entries(key).find((e) => e.key === key))),
     range: (prefix) => Promise.resolve(ok({ entries: entries(prefix), revision: 1n as Revision })),
     txn: (conditions, changes: readonly Change[]) => {
@@ -133,7 +141,12 @@
   assert.ok(read.ok && read.value?.length === MACHINES);
   // The list is written once: neither another leader nor another list replaces it.
   assert.ok(!(await writePreProvisionedMachines(store, consecutive, LEADER_MOD_REVISION, LIMITS)));
-  assert.ok(!(await writePreProvisionedMachines(fakeStore(), consecutive, 8n as ModRevision, LIMITS)));
+  const nextLeader = 8n as ModRevision;
+  assert.ok(!(await writePreProvisionedMachines(fakeStore(), consecutive, nextLeader, LIMITS)));
+  store.leaderModRevision = nextLeader;
+  assert.ok(!(await writePreProvisionedMachines(store, consecutive, nextLeader, LIMITS)));
+  const unchanged = await readPreProvisionedMachines(store);
+  assert.deepEqual(unchanged, read);
 });
 
 test('a damaged or missing part makes the list unreadable, not shorter', async () => {
