--- a/test/fencing-token.test.ts
+++ b/test/fencing-token.test.ts
@@ -3,24 +3,14 @@
 import { ClusterState, type Machine } from '../src/cluster/cluster-state.js';
 import { CommandDispatcher } from '../src/coordination/dispatch/command-dispatcher.js';
 import { LeadershipWatchdog } from '../src/coordination/leader/leadership-watchdog.js';
-import type {
-  Address,
-  AgentEpoch,
-  JobId,
-  MachineId,
-  PlanId,
-  TaskIndex,
-  Term,
-  TypeName,
-  ZoneName,
-} from '../src/protocol/ids.js';
+import type { Address, JobId, Term } from '../src/protocol/ids.js';
 import { commandsSchema } from '../src/protocol/heartbeats.js';
 import { decodeAs } from '../src/protocol/codec.js';
 import { attemptOf } from '../src/storage/records.js';
 import type { SteadyMs } from '../src/transport/clock.js';
 import { silentLog } from '../src/transport/log.js';
 import { err } from '../src/transport/result.js';
-import { addQueuedJobs, buildJobSpec } from './simulator/cluster-state-builders.js';
+import { addMachine, addQueuedJobs, buildJobSpec, placeTask } from './simulator/cluster-state-builders.js';
 import { ProcessClock, VirtualTime } from './simulator/virtual-time.js';
 
 /**
@@ -30,35 +20,23 @@
 const TERM = 5n as Term;
 const NOW = 1000 as SteadyMs;
 
-const addMachine = (cluster: ClusterState, index: number): Machine => {
-  const id = `m-${index}` as MachineId;
-  const machine = cluster.addMachine(id, 'g' as TypeName, 'a' as ZoneName, false, NOW, NOW);
-  return Object.assign(machine, {
-    state: 'up',
+/** Adds a machine whose agent obeys this term's token. */
+const addFencedMachine = (cluster: ClusterState, index: number): Machine =>
+  addMachine(cluster, index, {
     fenced: true,
     lastHeartbeat: NOW,
-    address: `${id}:1` as Address,
-    agentEpoch: 1n as AgentEpoch,
+    address: `m-${index}:1` as Address,
     reconciledToken: TERM,
   });
-};
 
 describe('a start sent to the address of an agent', () => {
   /** Sends the starts of two plans, made under this term and the one before; returns the started tasks. */
   function startedTasks(): number[] {
     const cluster = new ClusterState(TERM);
     const [job] = addQueuedJobs(cluster, [buildJobSpec('req-000001' as JobId, { tasks: 2 })]);
-    const machine = addMachine(cluster, 0);
+    const machine = addFencedMachine(cluster, 0);
     const placements = [TERM, (TERM - 1n) as Term].map((term, index) =>
-      cluster.addPlacement(
-        job!,
-        index as TaskIndex,
-        attemptOf(term, 1),
-        machine,
-        machine.agentEpoch,
-        `p-${index}` as PlanId,
-        NOW,
-      ),
+      placeTask(cluster, job!, index, machine, attemptOf(term, 1)),
     );
     const bodies: Uint8Array[] = [];
     const dispatcher = new CommandDispatcher({
@@ -139,14 +117,16 @@
   }
 
   it('raises the token once where an agent retains many exits, and not again before the agent shows it', async () => {
-    const raisedAt = await raisesOver(60, (cluster) => cluster.setRetainedExits(addMachine(cluster, 0), 64));
+    const raisedAt = await raisesOver(60, (cluster) =>
+      cluster.setRetainedExits(addFencedMachine(cluster, 0), 64),
+    );
     assert.deepEqual(raisedAt, [0.5]);
   });
 
   it('raises it again no sooner than agents send heartbeats because of it', async () => {
     const raisedAt = await raisesOver(
       31,
-      (cluster) => cluster.setRetainedExits(addMachine(cluster, 0), 64),
+      (cluster) => cluster.setRetainedExits(addFencedMachine(cluster, 0), 64),
       // The agent shows the new token at once, and again retains as many exits under it.
       (cluster) => {
         for (const machine of cluster.machines.values())
@@ -158,7 +138,7 @@
 
   it('raises it where 4,000 machines retain many exits together, and not for fewer', async () => {
     const retain = (count: number) => (cluster: ClusterState) => {
-      for (let i = 0; i < 4000; i++) cluster.setRetainedExits(addMachine(cluster, i), count);
+      for (let i = 0; i < 4000; i++) cluster.setRetainedExits(addFencedMachine(cluster, i), count);
     };
     assert.deepEqual(await raisesOver(60, retain(9)), []);
     assert.deepEqual(await raisesOver(60, retain(10)), [0.5]);
--- a/test/job-writes.test.ts
+++ b/test/job-writes.test.ts
@@ -1,29 +1,18 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { ClusterState, type Job, type Placement } from '../src/cluster/cluster-state.js';
+import { ClusterState, type Job } from '../src/cluster/cluster-state.js';
 import { nextCompletionTransaction } from '../src/coordination/completion/completion-transaction.js';
 import {
   JobRecordListener,
   type JobRecordListenerDependencies,
 } from '../src/coordination/leader/job-record-listener.js';
-import type {
-  AgentEpoch,
-  Attempt,
-  JobId,
-  MachineId,
-  ModRevision,
-  PlanId,
-  TaskIndex,
-  Term,
-  TypeName,
-  ZoneName,
-} from '../src/protocol/ids.js';
+import type { JobId, ModRevision, Term } from '../src/protocol/ids.js';
 import type { JobSpec } from '../src/protocol/jobs.js';
 import type { CompletionTransaction } from '../src/coordination/completion/transaction-part.js';
 import { Keys, TASKS_PER_COMPLETION_CHUNK } from '../src/storage/records.js';
 import type { SteadyMs } from '../src/transport/clock.js';
 import { silentLog } from '../src/transport/log.js';
-import { addQueuedJobs, buildJobSpec } from './simulator/cluster-state-builders.js';
+import { addMachine, addQueuedJobs, buildJobSpec, placeTask } from './simulator/cluster-state-builders.js';
 import { ProcessClock, VirtualTime } from './simulator/virtual-time.js';
 
 /**
@@ -41,23 +30,8 @@
   return { cluster, jobs: addQueuedJobs(cluster, specs) };
 }
 
-function addEndedTask(cluster: ClusterState, job: Job, index: number): Placement {
-  const id = `m-${index}` as MachineId;
-  const machine =
-    cluster.machines.get(id) ?? cluster.addMachine(id, 'g' as TypeName, 'a' as ZoneName, false, NOW, NOW);
-  const plan = 'p' as PlanId;
-  cluster.plans.set(plan, { id: plan, openTasks: 2, completionBatches: new Set() });
-  const placement = cluster.addPlacement(
-    job,
-    index as TaskIndex,
-    1n as Attempt,
-    machine,
-    1n as AgentEpoch,
-    plan,
-    NOW,
-  );
-  cluster.endPlacement(placement, 'done', NOW);
-  return placement;
+function addEndedTask(cluster: ClusterState, job: Job, index: number): void {
+  cluster.endPlacement(placeTask(cluster, job, index, addMachine(cluster, index)), 'done', NOW);
 }
 
 const nextTransaction = (cluster: ClusterState): CompletionTransaction | undefined =>
--- a/test/task-failures.test.ts
+++ b/test/task-failures.test.ts
@@ -2,42 +2,16 @@
 import { test } from 'node:test';
 import { ClusterState, waitingTaskCount } from '../src/cluster/cluster-state.js';
 import { clearFailuresOfSoundJobs } from '../src/coordination/heartbeats/task-failures.js';
-import type {
-  AgentEpoch,
-  Attempt,
-  JobId,
-  MachineId,
-  PlanId,
-  TaskIndex,
-  Term,
-  TypeName,
-  ZoneName,
-} from '../src/protocol/ids.js';
+import type { JobId, MachineId, Term } from '../src/protocol/ids.js';
 import type { SteadyMs } from '../src/transport/clock.js';
-import { addQueuedJobs, buildJobSpec } from './simulator/cluster-state-builders.js';
+import { addMachine, addQueuedJobs, buildJobSpec, placeTask } from './simulator/cluster-state-builders.js';
 
 /** Guards against a service that stays at one replica for ever after a spell in which all machines failed it. */
 test('a job that fails everywhere is placed as a whole again once a task has run well beyond its failed runs', () => {
   const cluster = new ClusterState(1n as Term);
   const [job] = addQueuedJobs(cluster, [buildJobSpec('req-000001' as JobId, { kind: 'service', tasks: 3 })]);
   const startedAt = 1000 as SteadyMs;
-  const machine = cluster.addMachine(
-    'm-0' as MachineId,
-    'g' as TypeName,
-    'a' as ZoneName,
-    false,
-    startedAt,
-    startedAt,
-  );
-  const placement = cluster.addPlacement(
-    job!,
-    0 as TaskIndex,
-    1n as Attempt,
-    machine,
-    1n as AgentEpoch,
-    'p' as PlanId,
-    startedAt,
-  );
+  const placement = placeTask(cluster, job!, 0, addMachine(cluster, 0));
   placement.runningSince = startedAt;
   for (const id of ['m-0', 'm-1']) job!.failedOn.add(id as MachineId);
   job!.failuresSinceCompletion = 2;
