--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -36,7 +36,7 @@
   ResourceUsage,
   UnconfirmedCommand,
 } from './entities.js';
-export { isRecordOutdated, mayPlaceTasks, mayWriteJob } from './job-writes.js';
+export { maySchedule, mayWriteJob } from './job-writes.js';
 export { failsEverywhere, teamUsageWithOrphans, waitingTaskCount, waitingTasks } from './counts.js';
 
 /** From this number of retained exits on, a machine's agent is to obey a higher fencing token, and may then forget them. */
--- a/src/cluster/job-writes.ts
+++ b/src/cluster/job-writes.ts
@@ -9,10 +9,10 @@
 import type { Job } from './entities.js';
 
 /** Whether the job's record in the store is known to differ from the one in the cluster state. */
-export const isRecordOutdated = (job: Job): boolean => job.refusedRevision === job.modRevision;
+const isRecordOutdated = (job: Job): boolean => job.refusedRevision === job.modRevision;
 
 /** Whether a transaction that depends on the job's record may be sent now. */
 export const mayWriteJob = (job: Job): boolean => job.unansweredWrite === undefined && !isRecordOutdated(job);
 
 /** Whether a plan may place tasks of the job now. */
-export const mayPlaceTasks = (job: Job): boolean => job.cancelledAt === undefined && mayWriteJob(job);
+export const maySchedule = (job: Job): boolean => job.cancelledAt === undefined && mayWriteJob(job);
--- a/src/coordination/completion/completion-writer.ts
+++ b/src/coordination/completion/completion-writer.ts
@@ -110,8 +110,8 @@
     }
     const recordsRead = this.writer.handleConflict(failed, 'completions');
     // Completed jobs whose records changed are set aside until these are read again; the other jobs need not wait for that.
-    const keysSetAside = new Set<string>(completedJobs.map((job) => Keys.job(job.id)));
-    if (!failed.every((key) => keysSetAside.has(key))) await recordsRead;
+    const excludedKeys = new Set<string>(completedJobs.map((job) => Keys.job(job.id)));
+    if (!failed.every((key) => excludedKeys.has(key))) await recordsRead;
     await sleep(this.leader.dependencies.clock, CONFLICT_DELAY_MS);
     return true;
   }
--- a/src/coordination/scheduling/planner.ts
+++ b/src/coordination/scheduling/planner.ts
@@ -2,7 +2,7 @@
 import type { FairShareGroupKey } from '../../cluster/fair-share-groups.js';
 import {
   failsEverywhere,
-  mayPlaceTasks,
+  maySchedule,
   waitingTaskCount,
   waitingTasks,
   type Job,
@@ -83,7 +83,7 @@
   run(): CyclePlan {
     const waiting: Job[] = [];
     for (const job of this.snapshot.cluster.jobs.values()) {
-      if (mayPlaceTasks(job) && waitingTaskCount(job) > 0) waiting.push(job);
+      if (maySchedule(job) && waitingTaskCount(job) > 0) waiting.push(job);
     }
     waiting.sort(this.queueOrder);
     // Elastic jobs grow beyond their minimum width only into capacity that no other job uses.
--- a/src/coordination/scheduling/scheduling-loop.ts
+++ b/src/coordination/scheduling/scheduling-loop.ts
@@ -1,7 +1,7 @@
 import { RequestPriority } from '../../transport/rate-limiter.js';
 import { sleep, type SteadyMs } from '../../transport/clock.js';
 import type { JobId } from '../../protocol/ids.js';
-import { mayPlaceTasks, waitingTaskCount, type Machine } from '../../cluster/cluster-state.js';
+import { maySchedule, waitingTaskCount, type Machine } from '../../cluster/cluster-state.js';
 import type { CommandDispatcher } from '../dispatch/command-dispatcher.js';
 import type { HeartbeatMonitor } from '../heartbeats/heartbeat-monitor.js';
 import { clearFailuresOfSoundJobs } from '../heartbeats/task-failures.js';
@@ -277,7 +277,7 @@
 
 function hasWaitingTasks(cluster: SchedulingClusterState): boolean {
   for (const job of cluster.jobs.values()) {
-    if (mayPlaceTasks(job) && waitingTaskCount(job) > 0) return true;
+    if (maySchedule(job) && waitingTaskCount(job) > 0) return true;
   }
   return false;
 }
