--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -174,7 +174,9 @@
     this.reports.largest = Math.max(this.reports.largest, body.furrows.length);
     let reply;
     try {
-      reply = await call(nodes[this.target % nodes.length].address, 'POST', '/v1/report', body, 4000);
+      const { address } = nodes[this.target % nodes.length];
+      if (address === this.avoid) throw new Error('cut');
+      reply = await call(address, 'POST', '/v1/report', body, 4000);
     } catch {
       reply = { status: 0 };
     }
--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -96,6 +96,7 @@
       address: `127.0.0.1:${ports[2 * i]}`,
       mesh: `127.0.0.1:${ports[2 * i + 1]}`,
     }));
+    await this.prepare?.();
     this.state = new StateService(plan.state, recorder);
     this.cloud = new Cloud(
       this.world,
@@ -180,6 +181,8 @@
     });
     closeSync(log);
     const child = node.process;
+    // No process outlives the script, however it ends.
+    process.once('exit', () => child.kill('SIGKILL'));
     child.once('exit', (code, signal) => {
       if (node.process !== child || node.ended || this.closing) return;
       this.recorder.note(`node ${node.member} ended by itself: code ${code}, signal ${signal}`);
@@ -320,6 +323,7 @@
     await site?.close();
     process.exit(result);
   };
+  process.on('uncaughtException', (error) => void finish(2, `could not run: ${error.stack}`));
   for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => void finish(2, `ended by ${signal}`));
   try {
     const broken = await body(trouble, hold);
--- a/review/lib-2/state.mjs
+++ b/review/lib-2/state.mjs
@@ -34,6 +34,8 @@
   refused = new Set();
   /** `(node, method, path, body) => { noAnswer, lateMs, delayMs } | undefined`, for transactions. */
   fault = () => undefined;
+  /** How many milliseconds longer an answer to a node takes. */
+  slow = () => 0;
   refusals = [];
 
   constructor(limits, recorder) {
@@ -88,6 +90,14 @@
 
   async handle(node, method, path, query, body, bytes) {
     await sleep(this.latencyMs ?? 2);
+    const reply = await this.answer(node, method, path, query, body, bytes);
+    // The answer is that of this moment; it may take a while on its way.
+    const slowMs = this.slow(node, path, query);
+    if (slowMs > 0) await sleep(slowMs);
+    return reply;
+  }
+
+  async answer(node, method, path, query, body, bytes) {
     if (path === '/changes') return this.changes(node, query);
     if (this.unavailable(node)) return { status: 503, body: { error: 'unavailable' } };
     if (!this.requests.take(1)) return { status: 429, body: { error: 'over the limit' } };
@@ -141,7 +151,9 @@
         const news = this.history.filter(
           (item) => item.mark > since && (item.set ?? item.remove).startsWith(under),
         );
-        if (news.length > 0 || now() >= until) return { status: 200, body: { ledger: this.ledger, news } };
+        if (news.length > 0 || now() >= until) {
+          return { status: 200, body: { ledger: this.ledger, news } };
+        }
       } else if (now() >= until + 60) return { status: 503, body: {} };
       await new Promise((resolve) => {
         const wake = () => {
@@ -170,6 +182,7 @@
     }
     if (!this.writes.take(changes.length)) return { status: 429, body: { error: 'over the limit' } };
     const fault = this.fault(node, conditions, changes);
+    if (fault?.status) return { status: fault.status, body: { error: 'refused' } };
     if (fault?.lateMs) {
       setTimeout(() => this.carryOut(conditions, changes), fault.lateMs);
       return undefined;
