--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -182,6 +182,7 @@
     closeSync(log);
     const child = node.process;
     // No process outlives the script, however it ends.
+    process.setMaxListeners(100);
     process.once('exit', () => child.kill('SIGKILL'));
     child.once('exit', (code, signal) => {
       if (node.process !== child || node.ended || this.closing) return;
