--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -46,6 +46,9 @@
   completed = new Map();
   starts = [];
   violations = [];
+  /** Whether the record leaves out the tasks of all jobs but those in `shown`: there are thousands. */
+  quiet = false;
+  shown = new Set();
   constructor(recorder) {
     this.recorder = recorder;
   }
@@ -63,12 +66,14 @@
       this.violate('ran_twice', `${name} starts on ${worker.id} while it is on ${other.id}`);
     this.on.set(name, worker);
     this.starts.push({ at: now(), name, machine: worker.id });
-    if (!this.quiet) this.recorder.note(`task ${name} on ${worker.id} attempt ${task.pull}`);
+    if (!this.quiet || this.shown.has(task.job))
+      this.recorder.note(`task ${name} on ${worker.id} attempt ${task.pull}`);
   }
   end(worker, task, cause) {
     if (this.on.get(task.name) === worker) this.on.delete(task.name);
     if (cause === 'done') this.completed.set(task.name, now());
-    if (!this.quiet) this.recorder.note(`task ${task.name} off ${worker.id}: ${cause}`);
+    if (!this.quiet || this.shown.has(task.job))
+      this.recorder.note(`task ${task.name} off ${worker.id}: ${cause}`);
   }
   violate(rule, what) {
     this.violations.push({ rule, what });
