An unanswered comparison gives up no pipeline

Seen by callers: a pipeline that does not fit one transaction is submitted, one answer of the state service is lost, late or refused (429, 503), and the submission gets 503.

Cause: PipelineWriter.finishedIdClashes returned the refusal for "no answer" where it returns the refusal for "ids are taken", and confirm took each of them for a clash and removed the pending head that reserves the ids.

Change: the comparison says clash, none or unknown. Unknown answers 503 and leaves the head, from which a repeat at any node continues. A conflict that names none of the ids is unknown too; it ended the comparison as if the remaining ids were free. Two log events tell the outcomes apart. The simulator can hook comparisons, and refuse, garble or lose a share of all transactions; its checker holds each removal of a head by a user's request against the store (given_up).

--- a/src/coordination/pipelines/pipeline-writer.ts
+++ b/src/coordination/pipelines/pipeline-writer.ts
@@ -171,12 +171,18 @@
     pending: PipelineHead,
     modRevision: ModRevision,
   ): Promise<Reply | undefined> {
-    const { jobCache, store } = this.dependencies;
+    const { jobCache, log, store } = this.dependencies;
     if (!(await jobCache.sync())) return refuse('storeUnanswered');
     const key = PipelineKeys.head(spec.id);
     const unchanged: Condition = { key, modRevision };
     const clash = this.knownIdClashes(spec) ?? (await this.finishedIdClashes(spec));
+    // It is not known whether an id is taken. The head stays, and a repeated submission continues from it.
+    if (clash === 'unknown') {
+      log.info('pipeline-ids-unknown', { pipeline: spec.id });
+      return refuse('storeUnanswered');
+    }
     if (clash) {
+      log.info('pipeline-ids-taken', { pipeline: spec.id });
       const removed = await store.txn([unchanged], [{ op: 'delete', key }], RequestPriority.User);
       return removed.ok ? clash : refuse('storeWriteFailed');
     }
@@ -208,8 +214,11 @@
     });
   }
 
-  /** Checks for ids of finished jobs; one transaction without changes compares many of them. */
-  private async finishedIdClashes(spec: PipelineSpec): Promise<Reply | undefined> {
+  /**
+   * Checks for ids of finished jobs; one transaction without changes compares many of them. `unknown`: the store gave no answer,
+   * refused the request, or named none of the ids, which says nothing about them.
+   */
+  private async finishedIdClashes(spec: PipelineSpec): Promise<Reply | undefined | 'unknown'> {
     const { settings, store } = this.dependencies;
     const batchSize = CONDITIONS_PER_CHANGE * settings.store.txnOps;
     for (let start = 0; start < spec.steps.length; start += batchSize) {
@@ -219,8 +228,9 @@
         [],
         RequestPriority.User,
       );
-      if (!outcome.ok) return refuse('storeUnanswered');
-      if (outcome.value.kind === 'conflict') return idClashesIn(spec, outcome.value.failed);
+      if (!outcome.ok) return 'unknown';
+      if (outcome.value.kind === 'committed') continue;
+      return idClashesIn(spec, outcome.value.failed) ?? 'unknown';
     }
     return undefined;
   }
--- a/test/breaches.test.ts
+++ b/test/breaches.test.ts
@@ -163,6 +163,12 @@
       store.transactionChecker.committed({ conditions, puts: [], deletes: [conditions[1]!.key] });
     },
   },
+  {
+    rule: 'given_up',
+    at: 8,
+    inject: ({ store }) =>
+      void store.transactionChecker.committed({ conditions: [], puts: [], deletes: ['job/pipe.work'] }),
+  },
   {
     rule: 'refused_again',
     at: 8,
--- a/test/simulator/node-and-store-actions.ts
+++ b/test/simulator/node-and-store-actions.ts
@@ -80,6 +80,13 @@
       cluster.store.lostAnswers = { share: Number(share), until: cluster.time.now + Number(forS) * 1000 };
     },
   },
+  'bad-answers': {
+    arguments: ['share', 'seconds'],
+    play({ cluster }, [share, forS]) {
+      cluster.extendFaultsUntil((Number(forS) + LAST_TXN_S) * 1000);
+      cluster.store.badAnswers = { share: Number(share), until: cluster.time.now + Number(forS) * 1000 };
+    },
+  },
   'slow-store': {
     arguments: ['share', 'seconds', 'seconds'],
     play({ cluster }, [share, delayS, forS]) {
--- a/test/simulator/scenario-parser.ts
+++ b/test/simulator/scenario-parser.ts
@@ -51,6 +51,9 @@
  *     at 9 hook plan/ 1 hold 20     (the same, counted from then on; `*`: any key)
  *     at 9 hook term/ 1 outage 60   (carried out, and from that moment on the state service is down)
  *     at 9 hook plan/ 1 slow-answer 0.4    (carried out at once, and answered so much later)
+ *     at 9 hook compare:end/ 1 throttled   (the nth that changes nothing and compares such a key; `throttled` and `unavailable`: refused
+ *                                    with 429 and 503; `garbled`: carried out, and its answer can't be read)
+ *     at 5 bad-answers 0.3 20       (that share of transactions gets any of these, or an answer that is lost, late or slow)
  *     expect req-000001 done by 30
  *     each n 1 2 3                  (played once for each value; `{n}` stands for it in all other lines)
  *
@@ -270,13 +273,23 @@
   }
 }
 
+const SIMPLE_TXN_FAULTS = [
+  'crash-before',
+  'crash-after',
+  'lose-reply',
+  'throttled',
+  'unavailable',
+  'garbled',
+] as const;
+
 /** Throws at a fault that there isn't: scenarios are refused before they are played. */
 export function parseTxnFault(words: readonly string[]): TxnFault {
   const [kind, seconds] = words;
   if (kind === 'hold') return { holdS: Number(seconds) };
   if (kind === 'outage') return { outageS: Number(seconds) };
   if (kind === 'slow-answer') return { slowAnswerS: Number(seconds) };
-  if (kind === 'crash-before' || kind === 'crash-after' || kind === 'lose-reply') return kind;
+  const simple = SIMPLE_TXN_FAULTS.find((fault) => fault === kind);
+  if (simple) return simple;
   throw new Error(`scenario: unknown fault of a transaction '${words.join(' ')}'`);
 }
 
--- a/test/simulator/simulated-store.ts
+++ b/test/simulator/simulated-store.ts
@@ -15,11 +15,28 @@
   | 'crash-before'
   | 'crash-after'
   | 'lose-reply'
+  | 'throttled'
+  | 'unavailable'
+  | 'garbled'
   | { readonly holdS: number }
   | { readonly outageS: number }
   | { readonly slowAnswerS: number };
 
-/** What to do with the nth transaction that puts or removes a key under a prefix. */
+/** Faults of single transactions whose callers learn nothing of the outcome, or that were not carried out. */
+const BAD_ANSWERS: readonly TxnFault[] = [
+  'lose-reply',
+  'throttled',
+  'unavailable',
+  'garbled',
+  { holdS: 3 },
+  { slowAnswerS: 0.6 },
+  { slowAnswerS: 2 },
+];
+
+/** Selects, before a prefix, transactions that change nothing and compare a key under the prefix. */
+const COMPARE_MARK = 'compare:';
+
+/** What to do with the nth transaction that puts or removes a key under a prefix, or that only compares one (`compare:PREFIX`). */
 export interface TxnHook {
   readonly prefix: string;
   nth: number;
@@ -43,6 +60,8 @@
 
 const bigintToNumber = (_: string, v: unknown): unknown => (typeof v === 'bigint' ? Number(v) : v);
 const neverAnswers = (): Promise<Reply> => new Promise(() => undefined);
+/** No CBOR item: an answer whose status arrives and whose body can't be read. */
+const GARBLED_BODY = new Uint8Array([0xff]);
 const reply = (status: number, body: unknown): Reply => ({ status, body: encode(body) });
 
 const receivedTransaction = (
@@ -69,7 +88,7 @@
   readonly refusedHosts = new Set<string>();
   readonly hooks: TxnHook[] = [];
   /** Judges the transactions of leaders. */
-  readonly transactionChecker = new TransactionChecker();
+  readonly transactionChecker = new TransactionChecker(this);
   /** What to call when the answers to transactions leave. */
   private readonly onAnswered = new WeakMap<Reply, () => void>();
   onCrash: (host: string) => void = () => undefined;
@@ -78,6 +97,8 @@
   lateWrites = { share: 0, until: 0 };
   /** Transactions that are carried out at once and whose answer is lost: other nodes read what they wrote. */
   lostAnswers = { share: 0, until: 0 };
+  /** Transactions, comparisons without changes among them, that get one of `BAD_ANSWERS`. */
+  badAnswers = { share: 0, until: 0 };
   /** Requests that take longer, half of them on the way here and half on the way back. */
   slowRequests = { share: 0, ms: 0, until: 0 };
   requests = 0;
@@ -115,6 +136,20 @@
     this.notify();
   }
 
+  /** The data of a key; undefined where it does not exist. */
+  valueOf(key: string): unknown {
+    return this.keys.get(key)?.value;
+  }
+
+  keysUnder(prefix: string): string[] {
+    return [...this.keys.keys()].filter((key) => key.startsWith(prefix));
+  }
+
+  /** The revision of the last change of a key under the prefix; 0 if there was none. */
+  lastChangeUnder(prefix: string): number {
+    return this.changeLog.findLast(({ key }) => key.startsWith(prefix))?.modRevision ?? 0;
+  }
+
   private remove(key: string): void {
     if (this.keys.delete(key)) this.changeLog.push({ key, modRevision: this.revision, removed: true });
   }
@@ -255,49 +290,64 @@
   }
 
   private txnWithHooks(from: string, map: WireMap, changes: WireMap[]): Reply | Promise<Reply> {
-    const touches = (p: string): boolean =>
-      changes.some((c) => {
-        const key = c[F.put] ?? c[F.delete];
-        return typeof key === 'string' && key.startsWith(p);
-      });
-    const hook = this.hooks.find((h) => touches(h.prefix) && --h.nth === 0);
-    if (!hook) {
-      const { time, lateWrites, lostAnswers, random } = this;
-      const isIn = (of: { share: number; until: number }): boolean =>
-        changes.length > 0 && time.now < of.until && random.next() < of.share;
-      if (isIn(lostAnswers)) {
+    const fault = this.hookedFault(map, changes) ?? this.drawnFault(changes);
+    return fault === undefined ? this.txn(map, changes) : this.txnWithFault(from, map, changes, fault);
+  }
+
+  private hookedFault(map: WireMap, changes: WireMap[]): TxnFault | undefined {
+    const compared = (): unknown[] => ((map[F.if] ?? []) as WireMap[]).map((c) => c[F.key]);
+    const isUnder = (key: unknown, prefix: string): boolean =>
+      typeof key === 'string' && key.startsWith(prefix);
+    const isSelected = (prefix: string): boolean =>
+      prefix.startsWith(COMPARE_MARK)
+        ? changes.length === 0 && compared().some((key) => isUnder(key, prefix.slice(COMPARE_MARK.length)))
+        : changes.some((c) => isUnder(c[F.put] ?? c[F.delete], prefix));
+    return this.hooks.find((h) => isSelected(h.prefix) && --h.nth === 0)?.fault;
+  }
+
+  /** The fault that a share of all transactions gets for a time, if any is due. */
+  private drawnFault(changes: WireMap[]): TxnFault | undefined {
+    const { time, lateWrites, lostAnswers, badAnswers, random } = this;
+    const isIn = (of: { share: number; until: number }): boolean =>
+      time.now < of.until && random.next() < of.share;
+    if (isIn(badAnswers)) return BAD_ANSWERS[Math.floor(random.next() * BAD_ANSWERS.length)];
+    if (changes.length === 0) return undefined;
+    if (isIn(lostAnswers)) return 'lose-reply';
+    return isIn(lateWrites) ? { holdS: 2 + 10 * random.next() } : undefined;
+  }
+
+  private txnWithFault(
+    from: string,
+    map: WireMap,
+    changes: WireMap[],
+    fault: TxnFault,
+  ): Reply | Promise<Reply> {
+    switch (fault) {
+      case 'throttled':
+        return reply(429, {});
+      case 'unavailable':
+        return reply(503, {});
+      case 'crash-before':
+        this.onCrash(from);
+        return neverAnswers();
+      case 'crash-after':
         this.txn(map, changes);
+        this.onCrash(from);
         return neverAnswers();
-      }
-      if (!isIn(lateWrites)) return this.txn(map, changes);
-      time.after(2000 + 10_000 * random.next(), () => this.txn(map, changes));
-      return neverAnswers();
-    }
-    if (hook.fault === 'crash-before') {
-      this.onCrash(from);
-      return neverAnswers();
-    }
-    if (hook.fault === 'crash-after') {
-      this.txn(map, changes);
-      this.onCrash(from);
-      return neverAnswers();
+      case 'lose-reply':
+        this.txn(map, changes);
+        return neverAnswers();
+      case 'garbled':
+        return { ...this.txn(map, changes), body: GARBLED_BODY };
     }
-    if (hook.fault === 'lose-reply') {
-      this.txn(map, changes);
+    if ('holdS' in fault) {
+      this.time.after(fault.holdS * 1000, () => this.txn(map, changes));
       return neverAnswers();
     }
-    if ('outageS' in hook.fault) {
-      const reply = this.txn(map, changes);
-      this.onOutage(hook.fault.outageS);
-      return reply;
-    }
-    if ('slowAnswerS' in hook.fault) {
-      const reply = this.txn(map, changes);
-      const delayMs = hook.fault.slowAnswerS * 1000;
-      return this.time.sleep(delayMs).then(() => reply);
-    }
-    this.time.after(hook.fault.holdS * 1000, () => this.txn(map, changes));
-    return neverAnswers();
+    const answer = this.txn(map, changes);
+    if ('slowAnswerS' in fault) return this.time.sleep(fault.slowAnswerS * 1000).then(() => answer);
+    this.onOutage(fault.outageS);
+    return answer;
   }
 
   private txn(map: WireMap, changes: WireMap[]): Reply {
--- a/test/simulator/transaction-checker.ts
+++ b/test/simulator/transaction-checker.ts
@@ -1,4 +1,10 @@
-import { Keys, Prefix, jobIdOfKey } from '../../src/storage/records.js';
+import type { JobId, PipelineId } from '../../src/protocol/ids.js';
+import {
+  parsePipelineKey,
+  pipelinePartSchema,
+  type PipelinePart,
+} from '../../src/storage/pipeline-records.js';
+import { Keys, Prefix, jobIdOfKey, unseal } from '../../src/storage/records.js';
 
 /** A transaction as the state service receives it. */
 export interface ReceivedTransaction {
@@ -13,9 +19,16 @@
  */
 const WRITERS_OF_JOB_RECORDS = 3;
 
+/** The state service's keys as they are. */
+export interface StoredKeys {
+  valueOf(key: string): unknown;
+  keysUnder(prefix: string): string[];
+}
+
 /**
  * Checks the invariants of `src/cluster/job-writes.ts` from what the state service sees of leaders' transactions, which are told
- * apart by the revision of the leader's record that they are conditioned on.
+ * apart by the revision of the leader's record that they are conditioned on. Of users' transactions it checks that a pipeline whose
+ * ids are reserved is only given up where one of them is taken.
  */
 export class TransactionChecker {
   /** Called with each violation. */
@@ -24,10 +37,15 @@
   private readonly unansweredPlans = new Map<string, number>();
   private readonly refusals = new Map<string, number>();
 
+  constructor(private readonly stored: StoredKeys) {}
+
   /** A transaction was carried out. Returns what is to be called when its answer leaves. */
   committed(transaction: ReceivedTransaction): () => void {
     const fence = fenceOf(transaction);
-    if (fence === undefined) return () => undefined;
+    if (fence === undefined) {
+      this.checkGivenUpPipelines(transaction);
+      return () => undefined;
+    }
     for (const key of transaction.deletes) {
       if (jobIdOfKey(key) !== undefined && this.unansweredPlans.has(`${fence} ${key}`))
         this.onViolation('removed_unanswered', `${key} was removed while a plan that names it had no answer`);
@@ -54,6 +72,36 @@
     };
   }
 
+  /** Only what the store holds shows that an id is taken: an answer that was lost, refused or garbled says nothing. */
+  private checkGivenUpPipelines({ deletes }: ReceivedTransaction): void {
+    for (const deleted of deletes) {
+      const key = parsePipelineKey(deleted);
+      if (key?.kind !== 'head') continue;
+      const taken = this.takenIds(key.id);
+      if (!this.stepIds(key.id).some((id) => taken(id)))
+        this.onViolation('given_up', `pipeline ${key.id}, none of whose ids is taken`);
+    }
+  }
+
+  private stepIds(id: PipelineId): JobId[] {
+    return this.parts().flatMap((part) => (part.pipeline === id ? part.steps.map(({ job }) => job.id) : []));
+  }
+
+  private takenIds(id: PipelineId): (job: JobId) => boolean {
+    const others = this.parts().filter((part) => part.pipeline !== id);
+    const inOthers = new Set(others.flatMap((part) => part.steps.map(({ job }) => job.id)));
+    const exists = (key: string): boolean => this.stored.valueOf(key) !== undefined;
+    return (job) => inOthers.has(job) || exists(Keys.job(job)) || exists(Keys.finishedJob(job));
+  }
+
+  private parts(): PipelinePart[] {
+    return this.stored.keysUnder(Prefix.job).flatMap((key) => {
+      if (parsePipelineKey(key)?.kind !== 'part') return [];
+      const part = unseal(pipelinePartSchema, this.stored.valueOf(key));
+      return part.ok ? [part.value] : [];
+    });
+  }
+
   private countRefusal(fence: number, key: string, modRevision: number): void {
     const count = addTo(this.refusals, `${fence} ${key} ${modRevision}`, 1);
     if (count === WRITERS_OF_JOB_RECORDS + 1)
