A pipeline whose head is written again is known with all its steps

Cause: on the removal of a head PipelineCache.drop deleted the index of the steps by job, and the draft kept the assembled steps. assemble filled the index only where the draft had no assembled steps: two copies of one fact, of which one was dropped. In the same way a removed part stayed in the assembled steps, so that a head without its parts was a known pipeline.

Change: the draft holds only the records. What is derived from them (the pipeline and its index) is made in assemble and removed in drop, always together, after every change of a record.

--- a/src/storage/pipeline-cache.ts
+++ b/src/storage/pipeline-cache.ts
@@ -55,9 +55,6 @@
     number,
     { readonly part: PipelinePart; readonly sum: string; readonly modRevision: ModRevision }
   >;
-  /** Steps of all parts, once the parts that the head names are cached. */
-  steps: readonly StepSpec[] | undefined;
-  dependents: readonly (readonly number[])[];
 }
 
 /** Removed keys whose revisions are remembered. */
@@ -175,7 +172,6 @@
       if (!part.ok)
         return this.log.error('pipeline-record-unreadable', { pipeline: key.id, why: part.error });
       draft.parts.set(key.n, { part: part.value, sum: (value as SealedRecord).sum, modRevision });
-      draft.steps = undefined;
     }
     this.assemble(key.id, draft);
   }
@@ -190,8 +186,8 @@
     if (key.kind === 'head') {
       if (draft.head && draft.head.modRevision > modRevision) return;
       draft.head = undefined;
-      this.drop(key.id);
     } else draft.parts.delete(key.n);
+    this.assemble(key.id, draft);
     if (!draft.head && draft.parts.size === 0) this.drafts.delete(key.id);
     this.onChange(key.id);
   }
@@ -208,33 +204,28 @@
   private draftOf(id: PipelineId): Draft {
     const known = this.drafts.get(id);
     if (known) return known;
-    const draft: Draft = { head: undefined, parts: new Map(), steps: undefined, dependents: [] };
+    const draft: Draft = { head: undefined, parts: new Map() };
     this.drafts.set(id, draft);
     return draft;
   }
 
-  /** Makes the pipeline known if its head and exactly the parts that the head names are cached. */
+  /** Makes the pipeline known if its head and exactly the parts that the head names are cached, and unknown otherwise. */
   private assemble(id: PipelineId, draft: Draft): void {
     const { head } = draft;
-    if (!head) return;
-    if (!draft.steps) {
-      const steps = stepsOf(head.value, draft);
-      if (!steps) return;
-      draft.steps = steps;
-      draft.dependents = dependentsOf(steps);
-      steps.forEach((step, index) => this.stepsByJob.set(step.job.id, { id, index }));
+    if (!head || !hasNamedParts(head.value, draft)) return this.drop(id);
+    let known = this.complete.get(id);
+    if (known && !hasSameParts(known.head, head.value)) {
+      this.drop(id);
+      known = undefined;
     }
-    this.complete.set(id, {
-      id,
-      head: head.value,
-      modRevision: head.modRevision,
-      steps: draft.steps,
-      dependents: draft.dependents,
-    });
+    const { steps, dependents } = known ?? structureOf(head.value, draft);
+    if (!known) steps.forEach(({ job }, index) => this.stepsByJob.set(job.id, { id, index }));
+    this.complete.set(id, { id, head: head.value, modRevision: head.modRevision, steps, dependents });
     this.pending.add(id);
     this.onChange(id);
   }
 
+  /** Removes everything that was derived from the records of the pipeline. */
   private drop(id: PipelineId): void {
     const pipeline = this.complete.get(id);
     if (!pipeline) return;
@@ -246,15 +237,16 @@
   }
 }
 
-/** Returns the steps of the parts that the head names; undefined while one of them is missing or has another checksum. */
-function stepsOf(head: PipelineHead, draft: Draft): readonly StepSpec[] | undefined {
-  const steps: StepSpec[] = [];
-  for (const [n, sum] of head.parts.entries()) {
-    const cached = draft.parts.get(n);
-    if (cached?.sum !== sum) return undefined;
-    steps.push(...cached.part.steps);
-  }
-  return steps;
+const hasNamedParts = (head: PipelineHead, { parts }: Draft): boolean =>
+  head.parts.every((sum, number) => parts.get(number)?.sum === sum);
+
+const hasSameParts = (a: PipelineHead, b: PipelineHead): boolean =>
+  a.parts.length === b.parts.length && a.parts.every((sum, number) => b.parts[number] === sum);
+
+/** Returns the steps of the parts that the head names, all of which are cached. */
+function structureOf(head: PipelineHead, { parts }: Draft): Pick<Pipeline, 'steps' | 'dependents'> {
+  const steps = head.parts.flatMap((_, number) => parts.get(number)!.part.steps);
+  return { steps, dependents: dependentsOf(steps) };
 }
 
 /** Returns for each step the indices of the steps that need it. */
--- /dev/null
+++ b/test/pipeline-cache.test.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { JobId, ModRevision, PipelineId, StoreKey, Term } from '../src/protocol/ids.js';
+import { PipelineCache } from '../src/storage/pipeline-cache.js';
+import {
+  NO_PROGRESS,
+  packPipelineParts,
+  PipelineKeys,
+  sealPipelineHead,
+  type PipelineHead,
+} from '../src/storage/pipeline-records.js';
+import type { SealedRecord } from '../src/storage/records.js';
+import type { WallMs } from '../src/transport/clock.js';
+import { silentLog } from '../src/transport/log.js';
+import { buildJobSpec } from './simulator/cluster-state-builders.js';
+
+/**
+ * Guards against a cache that keeps a part of what it dropped: accepted steps were unknown, since the index of the steps was not filled again when
+ * a head was removed and written again (review, case 4).
+ */
+const ID = 'nightly' as PipelineId;
+const HEAD = PipelineKeys.head(ID);
+const STEPS = 30;
+/** Small values, so that the steps take several parts. */
+const VALUE_KB = 1;
+
+const jobId = (index: number): JobId => `req-${String(100 + index)}` as JobId;
+
+const steps = Array.from({ length: STEPS }, (_, index) => ({
+  name: `step-${index}`,
+  job: buildJobSpec(jobId(index)),
+  needs: index === 0 ? [] : [index - 1],
+  when: 'succeeded' as const,
+  retries: null,
+  backoffS: 1,
+  dueMs: null,
+}));
+
+/** The parts as one submission writes them: a later one of the same pipeline writes other values. */
+function partsOf(writtenAt: number): readonly SealedRecord[] {
+  const spec = {
+    id: ID,
+    steps,
+    startMs: null,
+    missed: 'run' as const,
+    lateS: 1,
+    onCancel: 'hold' as const,
+  };
+  const parts = packPipelineParts(spec, VALUE_KB, writtenAt as WallMs);
+  assert.ok(parts.ok && parts.value.length > 2);
+  return parts.value;
+}
+
+const headOf = (parts: readonly SealedRecord[], generation = 0): PipelineHead => ({
+  id: ID,
+  sum: 'sum',
+  parts: parts.map((part) => part.sum),
+  steps: STEPS,
+  state: 'live',
+  acceptedAt: 0 as WallMs,
+  startMs: null,
+  missed: 'run',
+  lateS: 1,
+  onCancel: 'hold',
+  cancelledAt: null,
+  generation,
+  term: 1n as Term,
+  progress: NO_PROGRESS,
+});
+
+/** A cache, and the store's keys as its news change them. */
+class CacheHarness {
+  readonly cache = new PipelineCache(silentLog);
+  revision = 0n;
+
+  put(key: StoreKey, value: unknown): ModRevision {
+    const modRevision = ++this.revision as ModRevision;
+    this.cache.put(key, value, modRevision);
+    return modRevision;
+  }
+
+  remove(key: StoreKey): ModRevision {
+    const modRevision = ++this.revision as ModRevision;
+    this.cache.remove(key, modRevision);
+    return modRevision;
+  }
+
+  putParts(parts: readonly SealedRecord[]): void {
+    parts.forEach((part, number) => this.put(PipelineKeys.part(ID, number), part));
+  }
+
+  /** The steps that are found by their jobs. */
+  knownSteps(): number {
+    return steps.filter(({ job }, index) => this.cache.stepOf(job.id)?.index === index).length;
+  }
+}
+
+describe('PipelineCache', () => {
+  it('finds the steps of a pipeline whose head was removed and written again', () => {
+    const harness = new CacheHarness();
+    const parts = partsOf(1);
+    harness.putParts(parts);
+    harness.put(HEAD, sealPipelineHead(headOf(parts)));
+    assert.equal(harness.knownSteps(), STEPS);
+    harness.remove(HEAD);
+    assert.equal(harness.knownSteps(), 0);
+    harness.put(HEAD, sealPipelineHead(headOf(parts, 1)));
+    assert.equal(harness.knownSteps(), STEPS);
+  });
+
+  it('knows no pipeline of which a part was removed, and knows it again with the parts of a later submission', () => {
+    const harness = new CacheHarness();
+    const [first, second] = [partsOf(1), partsOf(2)];
+    harness.putParts(first);
+    harness.put(HEAD, sealPipelineHead(headOf(first)));
+    harness.remove(HEAD);
+    harness.remove(PipelineKeys.part(ID, 1));
+    harness.put(HEAD, sealPipelineHead(headOf(first, 1)));
+    assert.equal(harness.cache.get(ID), undefined);
+    assert.equal(harness.knownSteps(), 0);
+    harness.putParts(second);
+    harness.put(HEAD, sealPipelineHead(headOf(second)));
+    assert.equal(harness.cache.get(ID)?.steps.length, STEPS);
+    assert.equal(harness.knownSteps(), STEPS);
+  });
+});
