A late answer brings back no pipeline that has ended

A step that was called done is called queued by the node through which its user had cancelled or retried something of the pipeline, where the answer to that write came after the pipeline's end.

Cause: PipelineCache.recordWrite compared with the cached head alone. Where the watch had already brought the removal of the head there was none, and the head was entered as the newest. It was not among the known revisions either, so that reading all keys again did not remove it.

Change: a node's own write passes the same check as news, against the revision at which the key was last written or removed, and is noted there.

--- a/src/storage/pipeline-cache.ts
+++ b/src/storage/pipeline-cache.ts
@@ -130,10 +130,10 @@
     return this.drafts.get(id)?.head;
   }
 
-  /** Enters a head that this node itself wrote. */
+  /** Enters a head that this node itself wrote, unless news of a later change or of its removal came before the answer. */
   recordWrite(head: PipelineHead, modRevision: ModRevision): void {
+    if (!this.advanceKey(PipelineKeys.head(head.id), modRevision)) return;
     const draft = this.draftOf(head.id);
-    if (draft.head && draft.head.modRevision >= modRevision) return;
     draft.head = { value: head, modRevision };
     this.assemble(head.id, draft);
   }
@@ -145,6 +145,14 @@
     this.drop(id);
   }
 
+  /** Notes a write of the key; returns false if a change as new as that is known already. */
+  private advanceKey(storeKey: string, modRevision: ModRevision): boolean {
+    if (modRevision <= this.knownRevision(storeKey)) return false;
+    this.revisions.set(storeKey, modRevision);
+    this.removed.delete(storeKey);
+    return true;
+  }
+
   private forgetKey(storeKey: string, modRevision: ModRevision): void {
     this.revisions.delete(storeKey);
     this.removed.set(storeKey, modRevision);
@@ -153,9 +161,7 @@
 
   put(storeKey: string, value: unknown, modRevision: ModRevision): void {
     const key = parsePipelineKey(storeKey);
-    if (!key || modRevision <= this.knownRevision(storeKey)) return;
-    this.revisions.set(storeKey, modRevision);
-    this.removed.delete(storeKey);
+    if (!key || !this.advanceKey(storeKey, modRevision)) return;
     if (key.kind === 'epoch') {
       if (modRevision > this.acceptanceRevision) this.acceptanceRevision = modRevision;
       return;
@@ -165,7 +171,6 @@
       const head = unseal(pipelineHeadSchema, value);
       if (!head.ok)
         return this.log.error('pipeline-record-unreadable', { pipeline: key.id, why: head.error });
-      if (draft.head && draft.head.modRevision >= modRevision) return;
       draft.head = { value: head.value, modRevision };
     } else {
       const part = unseal(pipelinePartSchema, value);
@@ -183,10 +188,8 @@
     if (key.kind === 'epoch') return;
     const draft = this.drafts.get(key.id);
     if (!draft) return;
-    if (key.kind === 'head') {
-      if (draft.head && draft.head.modRevision > modRevision) return;
-      draft.head = undefined;
-    } else draft.parts.delete(key.n);
+    if (key.kind === 'head') draft.head = undefined;
+    else draft.parts.delete(key.n);
     this.assemble(key.id, draft);
     if (!draft.head && draft.parts.size === 0) this.drafts.delete(key.id);
     this.onChange(key.id);
--- a/test/pipeline-cache.test.ts
+++ b/test/pipeline-cache.test.ts
@@ -123,4 +123,28 @@
     assert.equal(harness.cache.get(ID)?.steps.length, STEPS);
     assert.equal(harness.knownSteps(), STEPS);
   });
+
+  // A node that wrote a change for a user called a step queued that had been called done.
+  it('does not enter a head that this node wrote if news of its removal came before the answer', () => {
+    const harness = new CacheHarness();
+    const parts = partsOf(1);
+    harness.putParts(parts);
+    const writtenAt = harness.put(HEAD, sealPipelineHead(headOf(parts)));
+    harness.remove(HEAD);
+    harness.cache.recordWrite(headOf(parts), writtenAt);
+    assert.equal(harness.cache.headOf(ID), undefined);
+    assert.equal(harness.knownSteps(), 0);
+  });
+
+  it('removes a head that this node wrote when the keys are read again without it', () => {
+    const harness = new CacheHarness();
+    const parts = partsOf(1);
+    harness.putParts(parts);
+    const writtenAt = ++harness.revision as ModRevision;
+    harness.cache.recordWrite(headOf(parts), writtenAt);
+    assert.equal(harness.knownSteps(), STEPS);
+    const keys = parts.map((_, number): string => PipelineKeys.part(ID, number));
+    harness.cache.reloaded(new Set(keys), ++harness.revision as ModRevision);
+    assert.equal(harness.knownSteps(), 0);
+  });
 });
