A refused removal of a pending pipeline is no verdict on its ids

Cause: PipelineWriter.confirm answered with the clash also where the removal of the pending head was a conflict. The conflict says that the head has changed: the first submission had accepted the pipeline, and the job records that confirm took for those of others were of the pipeline's own steps.

Change: after a conflict the records are read again, and the answer is what they then say. The clash is the answer only where the same transaction that found the head unchanged removed it. Trace: a run called a step done, then the 200 listed it as done, and the checker was told queued.

--- a/src/coordination/pipelines/pipeline-writer.ts
+++ b/src/coordination/pipelines/pipeline-writer.ts
@@ -182,9 +182,12 @@
       return refuse('storeUnanswered');
     }
     if (clash) {
-      log.info('pipeline-ids-taken', { pipeline: spec.id });
       const removed = await store.txn([unchanged], [{ op: 'delete', key }], RequestPriority.User);
-      return removed.ok ? clash : refuse('storeWriteFailed');
+      if (!removed.ok) return refuse('storeWriteFailed');
+      // The head has changed, so another submission may have accepted the pipeline: the ids may be taken by its own steps.
+      if (removed.value.kind === 'conflict') return undefined;
+      log.info('pipeline-ids-taken', { pipeline: spec.id });
+      return clash;
     }
     const live: PipelineHead = { ...pending, state: 'live' };
     const outcome = await store.txn(
--- a/test/simulator/simulated-pipeline-users.ts
+++ b/test/simulator/simulated-pipeline-users.ts
@@ -6,6 +6,13 @@
   type PipelineSpec,
 } from '../../src/protocol/pipelines.js';
 import { PipelinePaths } from '../../src/protocol/wire.js';
+import {
+  finishedPipelineSchema,
+  pipelineChecksum,
+  pipelineHeadSchema,
+  PipelineKeys,
+} from '../../src/storage/pipeline-records.js';
+import { unseal } from '../../src/storage/records.js';
 import type { Result } from '../../src/transport/result.js';
 import type { CallFailure, Reply } from '../../src/transport/http.js';
 import type { SimulatedUsers, UserEnvironment } from './simulated-users.js';
@@ -52,30 +59,52 @@
     }
     const body = encodePipeline(spec);
     const until = this.environment.time.now + SUBMIT_TIMEOUT_MS;
-    let askedAt: number;
-    let finished = false;
     for (;;) {
-      askedAt = this.environment.time.now;
+      const askedAt = this.environment.time.now;
       const reply = await this.call('POST', PipelinePaths.all, body);
       const status = reply.ok ? reply.value.status : undefined;
       if (status !== undefined) this.statuses.set(spec.id, status);
       if (reply.ok && (status === 200 || status === 201)) {
-        // A repeat may find it over already.
-        const answer = decodeAs(pipelineAnswerSchema, reply.value.body);
-        finished = answer.ok && isFinished(answer.value);
+        this.recordAcceptance(spec, reply.value, askedAt);
         break;
       }
+      if (status === 409 && this.isAccepted(spec))
+        this.environment.checker.recordViolation('refused', `pipeline ${spec.id} is accepted, and got 409`);
       if (status === 400 || status === 409 || status === 422 || this.environment.time.now > until) return;
       await this.environment.time.sleep(RETRY_INTERVAL_MS);
     }
-    if (!finished)
-      for (const step of spec.steps)
-        this.environment.checker.recordAnswer(step.job.id, 201, 'queued', 'submit', askedAt);
     if (spec.steps.length <= MAX_POLLED_STEPS)
       for (const step of spec.steps) void this.users.poll(step.job.id);
     void this.watch(spec);
   }
 
+  /**
+   * A first answer says that every step waits. The answer to a repeat says of each step that it lists how it stands, and lists none once
+   * all is over.
+   */
+  private recordAcceptance(spec: PipelineSpec, { status, body }: Reply, askedAt: number): void {
+    const answer = decodeAs(pipelineAnswerSchema, body);
+    const listed = new Map(answer.ok ? answer.value.list.map((step) => [step.job, step.state]) : []);
+    if (answer.ok && isFinished(answer.value) && listed.size === 0) return;
+    for (const { job } of spec.steps) {
+      const state = listed.get(job.id);
+      const told = state === 'done' || state === 'cancelled' ? state : 'queued';
+      this.environment.checker.recordAnswer(job.id, status, told, 'submit', askedAt);
+    }
+  }
+
+  /** Whether the state service holds this very pipeline as accepted. */
+  private isAccepted(spec: PipelineSpec): boolean {
+    const { store } = this.environment;
+    const head = unseal(pipelineHeadSchema, store.valueOf(PipelineKeys.head(spec.id)));
+    const finished = unseal(finishedPipelineSchema, store.valueOf(PipelineKeys.finished(spec.id)));
+    const sum = pipelineChecksum(spec);
+    return (
+      (head.ok && head.value.state === 'live' && head.value.sum === sum) ||
+      (finished.ok && finished.value.sum === sum)
+    );
+  }
+
   private async watch(spec: PipelineSpec): Promise<void> {
     for (;;) {
       await this.environment.time.sleep(1500 + this.environment.random.next() * 1000);
--- a/test/simulator/simulated-users.ts
+++ b/test/simulator/simulated-users.ts
@@ -6,6 +6,7 @@
 import type { InvariantChecker } from './invariant-checker.js';
 import type { JobRun } from './simulated-agent.js';
 import type { SimulatedNetwork } from './simulated-network.js';
+import type { StoredKeys } from './transaction-checker.js';
 import type { VirtualTime } from './virtual-time.js';
 
 /** What users see of a deployment, and where the jobs that they submit are written down for the agents. */
@@ -15,6 +16,8 @@
   readonly network: SimulatedNetwork;
   readonly checker: InvariantChecker;
   readonly jobs: Map<string, JobRun>;
+  /** What the state service holds, to judge answers by. */
+  readonly store: Pick<StoredKeys, 'valueOf'>;
   readonly nodes: readonly { readonly member: string; readonly controller: unknown }[];
 }
 
