A submission that meets its first try is not refused for its own steps

Cause: between the read that finds no head and the check of the ids the node asks the state service whether the pipeline has ended. Within that time the watch may bring the first try's head and the records of its released steps; the ids were then compared with these records as with other people's jobs.

Change: where a head is cached by now, the records are read again before anything is said of the ids.

--- a/src/coordination/pipelines/pipeline-writer.ts
+++ b/src/coordination/pipelines/pipeline-writer.ts
@@ -40,7 +40,10 @@
   readonly log: Log;
   readonly store: Pick<StoreClient, 'txn'>;
   readonly jobCache: Pick<JobCache, 'get' | 'sync'>;
-  readonly pipelineCache: Pick<PipelineCache, 'acceptanceRevision' | 'matches' | 'partChecksums' | 'stepOf'>;
+  readonly pipelineCache: Pick<
+    PipelineCache,
+    'acceptanceRevision' | 'headOf' | 'matches' | 'partChecksums' | 'stepOf'
+  >;
   readonly settings: Pick<Settings, 'store'>;
 }
 
@@ -63,6 +66,8 @@
     const parts = packPipelineParts(spec, settings.store.valueKb, clock.wall());
     if (!parts.ok) return refuse('stepTooLarge', parts.error);
     if (pending) return this.confirm(spec, pending.value, pending.modRevision);
+    // Another submission of this pipeline has written its head since the records were read: jobs with these ids may be its steps.
+    if (pipelineCache.headOf(spec.id)) return undefined;
     const clash = this.knownIdClashes(spec);
     if (clash) return clash;
     const head = newHead(spec, checksum, parts.value, clock);
