Ids are compared with the acceptances that the head is conditioned on

Seen by callers: two pipelines that share ids are submitted at two nodes at once, and both are accepted. Their steps run under one id: a completed task is started again, and a step that was done is called queued.

Cause: a pipeline of several transactions compared its ids with the node's caches before it wrote its parts, and then conditioned its pending head on the acceptances known after them. A head that another node wrote in between passed both. The later check looks for the owner of each id, which by then is the new pipeline itself.

The checker's new rule (taken_twice) compares a pipeline that goes live with the ids that the store holds.

Change: the ids are compared again after the caches were brought up to date, in the turn that takes the condition for the head.

--- a/src/coordination/pipelines/pipeline-writer.ts
+++ b/src/coordination/pipelines/pipeline-writer.ts
@@ -66,10 +66,8 @@
     const parts = packPipelineParts(spec, settings.store.valueKb, clock.wall());
     if (!parts.ok) return refuse('stepTooLarge', parts.error);
     if (pending) return this.confirm(spec, pending.value, pending.modRevision);
-    // Another submission of this pipeline has written its head since the records were read: jobs with these ids may be its steps.
-    if (pipelineCache.headOf(spec.id)) return undefined;
-    const clash = this.knownIdClashes(spec);
-    if (clash) return clash;
+    const clash = this.clashBeforeHead(spec);
+    if (clash) return clash === 'changed' ? undefined : clash;
     const head = newHead(spec, checksum, parts.value, clock);
     const ownConditions: Condition[] = [
       absent(PipelineKeys.head(spec.id)),
@@ -127,6 +125,10 @@
     const checksums = pipelineCache.partChecksums(spec.id);
     if (parts.some((_, number) => !checksums.has(number))) return undefined;
     if (!pipelineCache.matches(spec, parts.length)) return refuse('abandonedPartsRemain');
+    // The head is conditioned on the acceptances known by now, so its ids are compared with these, not with those known before the parts
+    // were written.
+    const clash = this.clashBeforeHead(spec);
+    if (clash) return clash === 'changed' ? undefined : clash;
     const pending: PipelineHead = {
       ...head,
       state: 'pending',
@@ -213,6 +215,14 @@
     return { status: 201, body: encodePipelineAnswer(answer) };
   }
 
+  /**
+   * Checks for ids in use before a head is written. `changed`: another submission of this pipeline has written one since the records
+   * were read, and jobs with these ids may be its steps.
+   */
+  private clashBeforeHead(spec: PipelineSpec): Reply | 'changed' | undefined {
+    return this.dependencies.pipelineCache.headOf(spec.id) ? 'changed' : this.knownIdClashes(spec);
+  }
+
   /** Checks for ids of jobs, or of steps of other pipelines, in this node's caches. */
   private knownIdClashes(spec: PipelineSpec): Reply | undefined {
     const { pipelineCache, jobCache } = this.dependencies;
--- a/test/breaches.test.ts
+++ b/test/breaches.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import type { JobSpec } from '../src/protocol/jobs.js';
 import type { Attempt, JobId, TaskIndex, Term } from '../src/protocol/ids.js';
-import { attemptOf, Keys } from '../src/storage/records.js';
+import { attemptOf, Keys, seal } from '../src/storage/records.js';
 import type { Command } from '../src/protocol/heartbeats.js';
 import { ok } from '../src/transport/result.js';
 import { runScenario } from './simulator/scenario-runner.js';
@@ -169,6 +169,18 @@
     inject: ({ store }) =>
       void store.transactionChecker.committed({ conditions: [], puts: [], deletes: ['job/pipe.work'] }),
   },
+  {
+    rule: 'taken_twice',
+    at: 8,
+    text: 'set pipelines=1\nstep work one req-000041 red array run=30 gb=0\nat 3 pipeline work',
+    inject: ({ store }) => {
+      store.keys.set('end/req-000041', { value: {}, modRevision: 1, lease: undefined });
+      const head = store.keys.get('job/pipe.work')!;
+      const body = { ...(head.value as { body: object }).body, state: 'live', generation: 0 };
+      store.keys.set('job/pipe.work', { ...head, value: seal(body) });
+      store.transactionChecker.committed({ conditions: [], puts: ['job/pipe.work'], deletes: [] });
+    },
+  },
   {
     rule: 'refused_again',
     at: 8,
--- a/test/simulator/transaction-checker.ts
+++ b/test/simulator/transaction-checker.ts
@@ -1,6 +1,8 @@
 import type { JobId, PipelineId } from '../../src/protocol/ids.js';
 import {
   parsePipelineKey,
+  pipelineHeadSchema,
+  PipelineKeys,
   pipelinePartSchema,
   type PipelinePart,
 } from '../../src/storage/pipeline-records.js';
@@ -44,6 +46,7 @@
     const fence = fenceOf(transaction);
     if (fence === undefined) {
       this.checkGivenUpPipelines(transaction);
+      this.checkAcceptedPipelines(transaction);
       return () => undefined;
     }
     for (const key of transaction.deletes) {
@@ -83,17 +86,36 @@
     }
   }
 
+  /** A pipeline goes live only where none of its ids is that of a job or of a step of another pipeline. */
+  private checkAcceptedPipelines({ puts }: ReceivedTransaction): void {
+    for (const put of puts) {
+      const key = parsePipelineKey(put);
+      if (key?.kind !== 'head') continue;
+      const head = unseal(pipelineHeadSchema, this.stored.valueOf(put));
+      // Later changes of a live head have a higher generation.
+      if (!head.ok || head.value.state !== 'live' || head.value.generation > 0) continue;
+      const taken = this.takenIds(key.id);
+      const clash = this.stepIds(key.id).find((id) => taken(id));
+      if (clash !== undefined)
+        this.onViolation('taken_twice', `${clash} of pipeline ${key.id} is another job's id`);
+    }
+  }
+
   private stepIds(id: PipelineId): JobId[] {
     return this.parts().flatMap((part) => (part.pipeline === id ? part.steps.map(({ job }) => job.id) : []));
   }
 
   private takenIds(id: PipelineId): (job: JobId) => boolean {
-    const others = this.parts().filter((part) => part.pipeline !== id);
+    const others = this.parts().filter((part) => part.pipeline !== id && this.hasHead(part.pipeline));
     const inOthers = new Set(others.flatMap((part) => part.steps.map(({ job }) => job.id)));
     const exists = (key: string): boolean => this.stored.valueOf(key) !== undefined;
     return (job) => inOthers.has(job) || exists(Keys.job(job)) || exists(Keys.finishedJob(job));
   }
 
+  private hasHead(id: PipelineId): boolean {
+    return this.stored.valueOf(PipelineKeys.head(id)) !== undefined;
+  }
+
   private parts(): PipelinePart[] {
     return this.stored.keysUnder(Prefix.job).flatMap((key) => {
       if (parsePipelineKey(key)?.kind !== 'part') return [];
