The parts of an ended pipeline are collected by a leader elected again

Seen by operators: records of ended pipelines that stay in the state service, where the leader that ended a pipeline lost its leadership before the parts were collected, and was elected again.

Cause: PipelineCache.recordRemoval forgot the parts with the head, though only the head had been removed. The list of what is to be collected ends with the term, and the next term of the same process did not see them as parts without a head (another controller does).

Evidence: pipeline-cache.test.ts: after recordRemoval no part is known.

Change: the node's own removal of a head is applied like news of it. Parts that this term collects already are not collected as abandoned as well.

--- a/src/coordination/pipelines/pipeline-manager.ts
+++ b/src/coordination/pipelines/pipeline-manager.ts
@@ -10,7 +10,7 @@
 import type { Metrics } from '../../transport/metrics.js';
 import type { JobId, PipelineId, Term } from '../../protocol/ids.js';
 import type { Change, Condition } from '../../protocol/state.js';
-import { PipelineCache } from '../../storage/pipeline-cache.js';
+import { PipelineCache, type CachedPart } from '../../storage/pipeline-cache.js';
 import { PipelineKeys } from '../../storage/pipeline-records.js';
 import type { PipelinesClusterState } from '../leader/cluster-state-views.js';
 import type { StepCompletion } from '../completion/transaction-part.js';
@@ -157,7 +157,9 @@
     const writtenBefore = this.dependencies.clock.wall() - ABANDONED_ACCEPTANCE_MS;
     for (const { id, parts } of this.pipelineCache.partsWithoutHead()) {
       if (parts.some((p) => p.writtenAt > writtenBefore)) continue;
-      const batch = parts.slice(0, maxChanges);
+      // The parts of a pipeline that ended under this leader are garbage already.
+      const batch = parts.filter((p) => !this.isGarbage(id, p)).slice(0, maxChanges);
+      if (batch.length === 0) continue;
       return {
         conditions: [
           { key: PipelineKeys.head(id), modRevision: 0n as never },
@@ -178,6 +180,10 @@
     return undefined;
   }
 
+  private isGarbage(id: PipelineId, part: CachedPart): boolean {
+    return this.cluster?.garbage.has(PipelineKeys.part(id, part.n)) ?? false;
+  }
+
   /** Returns why a held step waits, as lines for users; undefined if the job is not a step. */
   explain(id: JobId): string[] | undefined {
     const location = this.pipelineCache.stepOf(id);
--- a/src/storage/pipeline-cache.ts
+++ b/src/storage/pipeline-cache.ts
@@ -138,11 +138,9 @@
     this.assemble(head.id, draft);
   }
 
-  /** Removes a pipeline whose completion this node itself wrote; older changes of its head may still arrive. */
+  /** Removes the head of a pipeline whose completion this node itself wrote; older changes of it may still arrive. */
   recordRemoval(id: PipelineId, modRevision: ModRevision): void {
-    this.forgetKey(PipelineKeys.head(id), modRevision);
-    this.drafts.delete(id);
-    this.drop(id);
+    this.remove(PipelineKeys.head(id), modRevision);
   }
 
   /** Notes a write of the key; returns false if a change as new as that is known already. */
--- a/test/pipeline-cache.test.ts
+++ b/test/pipeline-cache.test.ts
@@ -136,6 +136,20 @@
     assert.equal(harness.knownSteps(), 0);
   });
 
+  // A leader that was elected again collected none of them: they stayed in the store.
+  it('knows the parts of a pipeline that this node ended until they are removed', () => {
+    const harness = new CacheHarness();
+    const parts = partsOf(1);
+    harness.putParts(parts);
+    harness.put(HEAD, sealPipelineHead(headOf(parts)));
+    harness.cache.recordRemoval(ID, ++harness.revision as ModRevision);
+    assert.equal(harness.knownSteps(), 0);
+    const left = [...harness.cache.partsWithoutHead()].map(({ id, parts: { length } }) => ({ id, length }));
+    assert.deepEqual(left, [{ id: ID, length: parts.length }]);
+    parts.forEach((_, number) => harness.remove(PipelineKeys.part(ID, number)));
+    assert.deepEqual([...harness.cache.partsWithoutHead()], []);
+  });
+
   it('removes a head that this node wrote when the keys are read again without it', () => {
     const harness = new CacheHarness();
     const parts = partsOf(1);
