An answer that comes after all records were read again changes no cache

Cause: both caches judged an own write by what they remember of its key. A key that was written and removed within the gap leaves no trace there.

Evidence: a property of pipeline-cache.test.ts: a cache that hears of drawn changes late, twice, in any order, beside answers to its own writes, knows in the end what a fresh one knows. Counterexample after 510 runs: parts and head are written, the head is removed, all keys are read, the answer comes.

Change: PipelineCache remembers as of which revision it read everything, and JobCache takes no own write of a revision that it has reached.

The new test of storage.test.ts fails before and passes now.

--- a/src/storage/job-cache.ts
+++ b/src/storage/job-cache.ts
@@ -83,9 +83,13 @@
     return this.jobs.get(id);
   }
 
-  /** Enters a record that this node itself just wrote, which need not be read or checked again. */
+  /**
+   * Enters a record that this node itself just wrote, which need not be read or checked again. A write that the cache has reached by
+   * now is in it already, or has been replaced or removed since.
+   */
   recordWrite(id: JobId, record: JobRecord, modRevision: ModRevision): void {
-    if (modRevision > this.knownRevision(id)) this.jobs.set(id, { record, modRevision });
+    const isReached = this.revision !== undefined && modRevision <= (this.revision as unknown as ModRevision);
+    if (!isReached && modRevision > this.knownRevision(id)) this.jobs.set(id, { record, modRevision });
   }
 
   private knownRevision(id: JobId): ModRevision {
--- a/src/storage/pipeline-cache.ts
+++ b/src/storage/pipeline-cache.ts
@@ -72,6 +72,8 @@
   private readonly removed = new Map<string, ModRevision>();
   private readonly complete = new Map<PipelineId, Pipeline>();
   private readonly stepsByJob = new Map<JobId, { readonly id: PipelineId; readonly index: number }>();
+  /** Revision as of which all keys were last read. */
+  private reloadedRevision: ModRevision = NO_REVISION;
   /** Mod revision of the key that every acceptance rewrites. */
   acceptanceRevision: ModRevision = NO_REVISION;
   /** Pipelines that changed and have not been processed since; the code that processes one removes it. */
@@ -196,10 +198,15 @@
   reloaded(keys: ReadonlySet<string>, modRevision: ModRevision): void {
     for (const [storeKey, known] of [...this.revisions])
       if (!keys.has(storeKey) && known <= modRevision) this.remove(storeKey, modRevision);
+    if (modRevision > this.reloadedRevision) this.reloadedRevision = modRevision;
   }
 
+  /** The revision up to which the key's changes are known. A key that was absent when all were read again had no later one. */
   private knownRevision(storeKey: string): ModRevision {
-    return this.revisions.get(storeKey) ?? this.removed.get(storeKey) ?? NO_REVISION;
+    const written = this.revisions.get(storeKey);
+    if (written !== undefined) return written;
+    const removed = this.removed.get(storeKey) ?? NO_REVISION;
+    return removed > this.reloadedRevision ? removed : this.reloadedRevision;
   }
 
   private draftOf(id: PipelineId): Draft {
--- a/test/pipeline-cache.test.ts
+++ b/test/pipeline-cache.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import fc from 'fast-check';
 import type { JobId, ModRevision, PipelineId, StoreKey, Term } from '../src/protocol/ids.js';
 import { PipelineCache } from '../src/storage/pipeline-cache.js';
 import {
@@ -162,3 +163,135 @@
     assert.equal(harness.knownSteps(), 0);
   });
 });
+
+/** A key as the store holds it, or as one of its changes; `value` is undefined where the key was removed. */
+interface StoredChange {
+  readonly key: StoreKey;
+  readonly value: unknown;
+  readonly modRevision: ModRevision;
+}
+
+/** A store with the records of one pipeline, and a node that hears of it in any order in which answers may arrive. */
+class OutOfOrderNode {
+  readonly cache = new PipelineCache(silentLog);
+  private readonly keys = new Map<StoreKey, StoredChange>();
+  private readonly changes: StoredChange[] = [];
+  /** The node's own writes whose answers have not arrived. */
+  private readonly unanswered: (() => void)[] = [];
+  private submissions = 0;
+  private generation = 0;
+
+  private commit(key: StoreKey, value: unknown): ModRevision {
+    const modRevision = BigInt(this.changes.length + 1) as ModRevision;
+    this.changes.push({ key, value, modRevision });
+    if (value === undefined) this.keys.delete(key);
+    else this.keys.set(key, { key, value, modRevision });
+    return modRevision;
+  }
+
+  private storedParts(): SealedRecord[] {
+    const stored = Array.from({ length: partsOf(0).length }, (_, n) =>
+      this.keys.get(PipelineKeys.part(ID, n)),
+    );
+    return stored.flatMap((part) => (part ? [part.value as SealedRecord] : []));
+  }
+
+  /** A submission writes the parts that are missing. */
+  writeParts(): void {
+    for (const [number, part] of partsOf(++this.submissions).entries()) {
+      const key = PipelineKeys.part(ID, number);
+      if (!this.keys.has(key)) this.commit(key, part);
+    }
+  }
+
+  /** Somebody writes a first or a further head; `own`: this node does. */
+  writeHead(own: boolean): void {
+    const parts = this.storedParts();
+    if (parts.length !== partsOf(0).length) return;
+    const head = headOf(parts, ++this.generation);
+    const modRevision = this.commit(HEAD, sealPipelineHead(head));
+    if (own) this.unanswered.push(() => this.cache.recordWrite(head, modRevision));
+  }
+
+  removeHead(own: boolean): void {
+    if (!this.keys.has(HEAD)) return;
+    const modRevision = this.commit(HEAD, undefined);
+    if (own) this.unanswered.push(() => this.cache.recordRemoval(ID, modRevision));
+  }
+
+  removePart(number: number): void {
+    const key = PipelineKeys.part(ID, number % partsOf(0).length);
+    if (!this.keys.has(HEAD) && this.keys.has(key)) this.commit(key, undefined);
+  }
+
+  answerOwnWrite(which: number): void {
+    this.unanswered.splice(which % Math.max(1, this.unanswered.length), 1)[0]?.();
+  }
+
+  /** An answer with the changes after one revision up to another; it may be older than one that came before. */
+  deliver(from: number, count: number): void {
+    const newest = this.changes.length;
+    const start = Math.max(0, Math.min(this.heardUpTo, newest - from));
+    this.apply(this.changes.slice(start, start + count));
+    this.heardUpTo = Math.max(this.heardUpTo, Math.min(newest, start + count));
+  }
+  private heardUpTo = 0;
+
+  private apply(changes: readonly StoredChange[]): void {
+    for (const { key, value, modRevision } of changes) {
+      if (value === undefined) this.cache.remove(key, modRevision);
+      else this.cache.put(key, value, modRevision);
+    }
+  }
+
+  /** All keys are read again. */
+  reload(cache = this.cache): void {
+    for (const { key, value, modRevision } of this.keys.values()) cache.put(key, value, modRevision);
+    cache.reloaded(new Set(this.keys.keys()), BigInt(this.changes.length) as ModRevision);
+    if (cache === this.cache) this.heardUpTo = this.changes.length;
+  }
+
+  hearEverything(): void {
+    this.apply(this.changes.slice(this.heardUpTo));
+    while (this.unanswered.length > 0) this.answerOwnWrite(0);
+  }
+}
+
+/** What a node can tell of the pipeline. */
+const knowledgeOf = (cache: PipelineCache): unknown => ({
+  generation: cache.headOf(ID)?.value.generation,
+  complete: cache.get(ID)?.modRevision,
+  steps: steps.filter(({ job }, index) => cache.stepOf(job.id)?.index === index).length,
+  parts: [...cache.partChecksums(ID)].sort(),
+  withoutHead: [...cache.partsWithoutHead()].map(({ parts }) => parts.length),
+});
+
+const anyEvent: fc.Arbitrary<(node: OutOfOrderNode) => void> = fc.oneof(
+  fc.constant((node: OutOfOrderNode) => node.writeParts()),
+  fc.boolean().map((own) => (node: OutOfOrderNode) => node.writeHead(own)),
+  fc.boolean().map((own) => (node: OutOfOrderNode) => node.removeHead(own)),
+  fc.nat(9).map((number) => (node: OutOfOrderNode) => node.removePart(number)),
+  fc.nat(9).map((which) => (node: OutOfOrderNode) => node.answerOwnWrite(which)),
+  fc.tuple(fc.nat(20), fc.nat(20)).map(
+    ([from, count]) =>
+      (node: OutOfOrderNode) =>
+        node.deliver(from, count),
+  ),
+  fc.constant((node: OutOfOrderNode) => node.reload()),
+);
+
+describe('a PipelineCache that hears of changes late, twice and in any order', () => {
+  it('knows in the end what one that reads the store afresh knows', () => {
+    fc.assert(
+      fc.property(fc.array(anyEvent, { maxLength: 40 }), (events) => {
+        const node = new OutOfOrderNode();
+        for (const event of events) event(node);
+        node.hearEverything();
+        const fresh = new PipelineCache(silentLog);
+        node.reload(fresh);
+        assert.deepEqual(knowledgeOf(node.cache), knowledgeOf(fresh));
+      }),
+      { numRuns: 1000, seed: 58 },
+    );
+  });
+});
--- a/test/storage.test.ts
+++ b/test/storage.test.ts
@@ -51,6 +51,17 @@
     assert.equal(cache.recordsDecoded, 0);
     assert.equal(cache.get(id)?.modRevision, 2n);
   });
+
+  // All records were read again between the write and its answer: the record had been removed, and would have come back for good.
+  it('does not enter a record that this node wrote before all were read again without it', async () => {
+    const clock = new ProcessClock(new VirtualTime(), 1, 0);
+    const store = { range: () => Promise.resolve(ok({ entries: [], revision: 3n })) };
+    const cache = new JobCache(store as unknown as StoreClient, clock, { next: () => 0.5 }, silentLog, 1e9);
+    await cache.sync();
+    const id = 'req-000001' as JobId;
+    cache.recordWrite(id, { state: 'queued' } as JobRecord, 2n as ModRevision);
+    assert.equal(cache.get(id), undefined);
+  });
 });
 
 describe('plan size', () => {
