A step waits for its back-off after a new term of the same controller

Seen by callers: a step that failed and is to be tried again after its own back-off starts at once when the leader begins a new term (an answer of the state service was lost) or is elected again.

Cause: PipelineManager remembered for which number of failures it had delayed a step, and did not forget that with the term's other state. The new cluster state knows no delay, and none was set.

Change: it is forgotten with the term.

--- a/src/coordination/pipelines/pipeline-manager.ts
+++ b/src/coordination/pipelines/pipeline-manager.ts
@@ -38,6 +38,8 @@
   private onCancelled: (id: JobId) => void = () => undefined;
   private countedFailures = new Map<JobId, number>();
   private readySince = new Map<JobId, SteadyMs>();
+  /** For each step whose retry was delayed, the number of failures that the delay is for. */
+  private delayedAfterFailures = new Map<JobId, number>();
   private releaseBudget = 0;
   private releaseBudgetUpdatedAt: SteadyMs;
 
@@ -67,6 +69,7 @@
     this.onCancelled = onCancelled;
     this.countedFailures = new Map();
     this.readySince = new Map();
+    this.delayedAfterFailures = new Map();
     for (const pipeline of this.pipelineCache.all()) {
       this.pipelineCache.pending.add(pipeline.id);
       this.onPipelineChanged(pipeline.id);
@@ -120,8 +123,6 @@
       this.dependencies.clock.now() + Math.min(3600, backoffS * 2 ** Math.min(20, failures - 1)) * 1000;
     if (until > job.retryAt) job.retryAt = until as SteadyMs;
   }
-  private readonly delayedAfterFailures = new Map<JobId, number>();
-
   beginCompletion(cluster: PipelinesClusterState, term: Term): StepCompletion | undefined {
     const { dependencies } = this;
     if (this.pipelineCache.size === 0) return undefined;
