Machine types count as stored only as long as nobody else may have written

Seen by operators: a controller that starts while the provider is away reads machine types that are no longer offered, and accepts or refuses jobs by them, although the leader has known newer ones for a long time.

Cause: the leader compared its types with those it last wrote with a confirmation. A later write without an answer, or one of another leader, left that checksum valid: an answer that said nothing counted as "still stored".

Evidence: two tests of machine-types.test.ts: types that change and change back around a lost answer; a leader that is elected again after another one.

Change: what is stored is known only after a confirmed write and under the same leadership; otherwise the record is read and written again.

It costs a change of the state service after each new term.

--- a/src/coordination/fleet/machine-type-catalog.ts
+++ b/src/coordination/fleet/machine-type-catalog.ts
@@ -23,8 +23,8 @@
  */
 export class MachineTypeCatalog {
   private types: ReadonlyMap<TypeName, MachineType> = new Map();
-  /** Checksum of the stored types without spot prices; empty until this process has stored them. */
-  private storedChecksum = '';
+  /** The types that this process stored last, and the leadership under which it did: under a later one others may be stored. */
+  private stored: { readonly checksum: string; readonly leader: ModRevision } | undefined;
   /** Revision of the stored record as last read or written here; initially that of no record, undefined where unknown. */
   private storedRevision: ModRevision | undefined = NO_REVISION;
 
@@ -77,7 +77,8 @@
     const whileLeader = leadershipCondition();
     if (!whileLeader) return;
     const typesChecksum = checksum(types.map((type) => ({ ...type, spotPrice: 0 })));
-    if (typesChecksum === this.storedChecksum) return;
+    const leader = whileLeader.modRevision;
+    if (this.stored?.checksum === typesChecksum && this.stored.leader === leader) return;
     const encoded = decode(encodeCatalog(types));
     if (!encoded.ok) return;
     if (this.storedRevision === undefined) {
@@ -90,10 +91,10 @@
       [{ op: 'put', key: Keys.machineTypes, value: seal(encoded.value) }],
       RequestPriority.Scheduling,
     );
-    // Without a confirmation the record is read again before the next attempt.
+    // Without a confirmation it is not known what is stored, and the record is read again before the next attempt.
     const committed = outcome.ok && outcome.value.kind === 'committed' ? outcome.value.revision : undefined;
     this.storedRevision = committed as ModRevision | undefined;
-    if (committed !== undefined) this.storedChecksum = typesChecksum;
+    this.stored = committed === undefined ? undefined : { checksum: typesChecksum, leader };
   }
 
   private async restoreTypes(): Promise<void> {
--- a/test/machine-types.test.ts
+++ b/test/machine-types.test.ts
@@ -110,4 +110,41 @@
     await runForS(120);
     assert.match(storedTypes(), /last/);
   });
+
+  // The types that were stored before counted as stored, although the store held those of the write that got no answer.
+  it('is stored again when the types change back after a write with an unknown outcome', async () => {
+    const { store, startController, storedTypes, runForS } = createSimulatedCluster();
+    const controller = startController('n0');
+    controller.state.types = [type('old')];
+    controller.state.leadershipCondition = { key: Keys.leader, modRevision: 0n as ModRevision };
+    await runForS(70);
+    store.hooks.push({ prefix: Keys.machineTypes, nth: 1, fault: 'lose-reply' });
+    controller.state.types = [type('passing')];
+    await runForS(15);
+    while (!storedTypes().includes('passing')) await runForS(1);
+    controller.state.types = [type('old')];
+    await runForS(120);
+    assert.match(storedTypes(), /old/);
+  });
+
+  it('is stored again by a leader that was elected again after another one stored other types', async () => {
+    const { store, startController, storedTypes, runForS } = createSimulatedCluster();
+    const [first, second] = [startController('n0'), startController('n1')];
+    const leadAs = async (controller: typeof first, name: string): Promise<void> => {
+      store.keys.set(Keys.leader, { value: name, modRevision: ++leaderRevision, lease: undefined });
+      first.state.leadershipCondition = second.state.leadershipCondition = undefined;
+      controller.state.types = [type(name)];
+      controller.state.leadershipCondition = {
+        key: Keys.leader,
+        modRevision: BigInt(leaderRevision) as ModRevision,
+      };
+      await runForS(200);
+    };
+    let leaderRevision = 1000;
+    await leadAs(first, 'first');
+    await leadAs(second, 'second');
+    assert.match(storedTypes(), /second/);
+    await leadAs(first, 'first');
+    assert.match(storedTypes(), /first/);
+  });
 });
