Only the answer 200 renews a store lease

Cause: StoreClient.renewLease took any status but 404, 429 and 503 for a renewal. A leader may decide only under a lease that certainly stands, and an answer such as 400 or 500 says nothing of it.

Change: 200 is a renewal, 404 the end, and anything else an answer that can't be read, whose outcome is unknown.

Result: the test fails before (400 and 500 are renewals) and passes now.

--- a/src/storage/store-client.ts
+++ b/src/storage/store-client.ts
@@ -246,7 +246,10 @@
       timeoutMs,
     });
     if (!reply.ok) return reply;
-    return ok(reply.value.status === HttpStatus.notFound ? 'ended' : 'renewed');
+    const { status } = reply.value;
+    if (status === HttpStatus.ok) return ok('renewed');
+    if (status === HttpStatus.notFound) return ok('ended');
+    return this.malformedReply(Paths.leases, `status ${status}`);
   }
 
   /** Ends a lease, and with it the keys attached to it. */
--- a/test/storage.test.ts
+++ b/test/storage.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
 import { jsonByteLength } from '../src/protocol/codec.js';
-import type { JobId, ModRevision, Term } from '../src/protocol/ids.js';
+import type { Address, JobId, LeaseId, ModRevision, Term } from '../src/protocol/ids.js';
 import type { StoreEvent } from '../src/protocol/state.js';
 import { JobCache } from '../src/storage/job-cache.js';
 import {
@@ -15,8 +15,9 @@
   type JobRecord,
   type PlanJob,
 } from '../src/storage/records.js';
-import type { StoreClient } from '../src/storage/store-client.js';
+import { StoreClient } from '../src/storage/store-client.js';
 import { silentLog } from '../src/transport/log.js';
+import type { RateLimiter } from '../src/transport/rate-limiter.js';
 import { ok } from '../src/transport/result.js';
 import { ProcessClock, VirtualTime } from './simulator/virtual-time.js';
 
@@ -64,6 +65,24 @@
   });
 });
 
+describe('StoreClient', () => {
+  // Any status but those named by the protocol counted as a renewal, and a leader may decide only under a lease that certainly stands.
+  it('takes no other status than 200 for a renewed lease', async () => {
+    const clock = new ProcessClock(new VirtualTime(), 1, 0);
+    const limiter = { overdraw: () => undefined, onThrottled: () => undefined } as unknown as RateLimiter;
+    const outcomeOf = async (status: number): Promise<unknown> => {
+      const http = { call: () => Promise.resolve(ok({ status })) };
+      const client = new StoreClient(http, 'store:1' as Address, clock, limiter, limiter, silentLog);
+      const outcome = await client.renewLease(7n as LeaseId, 1000);
+      return outcome.ok ? outcome.value : outcome.error.kind;
+    };
+    assert.equal(await outcomeOf(200), 'renewed');
+    assert.equal(await outcomeOf(404), 'ended');
+    for (const status of [400, 500]) assert.equal(await outcomeOf(status), 'unknown');
+    for (const status of [429, 503]) assert.equal(await outcomeOf(status), 'unavailable');
+  });
+});
+
 describe('plan size', () => {
   it('summed job by job is never less than the size that the store counts', () => {
     const job = fc.record({
