Cached images are written again after a write that was not confirmed

Seen by operators: after a failover starts go to machines without the image, where the last write of the cached-image records was throttled or its answer lost and no image has changed since.

Cause: CachedImageWriter marked the images as written before it wrote, and looked at no outcome: an answer that says nothing counted as written.

Change: a part without a confirmation marks them as changed again; they are written after the next interval, at the lowest priority as before.

--- a/src/coordination/completion/cached-image-writer.ts
+++ b/src/coordination/completion/cached-image-writer.ts
@@ -51,7 +51,10 @@
     // Each value is within the limit, but all together may exceed that of one transaction. One transaction would then be refused
     // for its size every twenty seconds, and a new leader would know of no image.
     for (const part of splitIntoTransactions(changes, settings.store.txnOps)) {
-      if (this.leader.isActive()) await this.writer.write([], part, RequestPriority.GarbageCollection);
+      if (!this.leader.isActive()) return;
+      const outcome = await this.writer.write([], part, RequestPriority.GarbageCollection);
+      // Without a confirmation the records are written again after the next interval.
+      if (!outcome.ok || outcome.value.kind !== 'committed') cluster.imagesChanged = true;
     }
   }
 }
