The simulator holds each controller's pipeline cache against the store

Cause: caches that kept or brought back what was dropped were seen only once a user was told something wrong, which took a second fault.

Change: twice a second the checker compares what each node derives of pipelines with itself, and with the state service where the node has applied its last change (cache_differs).

--- a/src/storage/job-cache.ts
+++ b/src/storage/job-cache.ts
@@ -88,7 +88,7 @@
    * now is in it already, or has been replaced or removed since.
    */
   recordWrite(id: JobId, record: JobRecord, modRevision: ModRevision): void {
-    const isReached = this.revision !== undefined && modRevision <= (this.revision as unknown as ModRevision);
+    const isReached = modRevision <= this.appliedRevision;
     if (!isReached && modRevision > this.knownRevision(id)) this.jobs.set(id, { record, modRevision });
   }
 
@@ -104,6 +104,11 @@
     return this.jobs.entries();
   }
 
+  /** The revision up to which all changes are in the cache; 0 before it was filled. */
+  get appliedRevision(): ModRevision {
+    return (this.revision ?? NO_REVISION) as ModRevision;
+  }
+
   /** Whether the cache was ever filled. */
   get loaded(): boolean {
     return this.revision !== undefined;
--- a/test/simulator/simulated-cluster.ts
+++ b/test/simulator/simulated-cluster.ts
@@ -2,13 +2,18 @@
 import type { MachineType } from '../../src/protocol/cloud.js';
 import type { Address, MemberName, ZoneName } from '../../src/protocol/ids.js';
 import { createElasticJobManager } from '../../src/coordination/elastic/elastic-job-manager.js';
-import { createPipelineManager } from '../../src/coordination/pipelines/pipeline-manager.js';
+import {
+  createPipelineManager,
+  type PipelineManager,
+  type PipelineManagerDependencies,
+} from '../../src/coordination/pipelines/pipeline-manager.js';
 import { defaultOperatorSettings, type OperatorSettings } from '../../src/protocol/operator-settings.js';
 import type { Settings, TeamLimits } from '../../src/protocol/settings.js';
 import { silentLog, type Log } from '../../src/transport/log.js';
 import { Metrics } from '../../src/transport/metrics.js';
 import { seededRandom, type Random } from '../../src/transport/random.js';
 import { ProcessClock, VirtualTime } from './virtual-time.js';
+import { CacheChecker } from './cache-checker.js';
 import { UserBehavior } from './user-behavior.js';
 import { SimulatedPipelineUsers } from './simulated-pipeline-users.js';
 import { SimulatedUsers } from './simulated-users.js';
@@ -51,6 +56,8 @@
 const CRASH_RESTART_MS = 3000;
 /** Beyond it agents spare themselves what only small deployments can afford. */
 const LARGE_DEPLOYMENT_MACHINES = 200;
+/** How often the controllers' caches are checked. */
+const CACHE_CHECK_MS = 500;
 /** Clocks run too fast or too slow by half of it at the most, and differ by half the offset. */
 const CLOCK_DRIFT = 0.001;
 const CLOCK_OFFSET_MS = 500;
@@ -73,6 +80,7 @@
   readonly network: SimulatedNetwork;
   readonly store: SimulatedStore;
   readonly checker: InvariantChecker;
+  readonly cacheChecker: CacheChecker;
   readonly users: SimulatedUsers;
   readonly pipelineUsers: SimulatedPipelineUsers;
   readonly userBehavior: UserBehavior;
@@ -127,6 +135,7 @@
     this.network.serve('store:1', (...a) => this.store.handle(...a));
     this.network.serve('cloud:1', (...a) => this.cloud.handle(...a));
     this.connectChecker();
+    this.cacheChecker = this.createCacheChecker();
     this.users = new SimulatedUsers(this);
     this.pipelineUsers = new SimulatedPipelineUsers(this, this.users);
     this.userBehavior = new UserBehavior(this);
@@ -144,6 +153,20 @@
       this.jobs.get(job)?.faulty !== false || this.checker.needs.has(job);
   }
 
+  private createCacheChecker(): CacheChecker {
+    const checker = new CacheChecker(this.store);
+    checker.onViolation = (rule, detail) => this.checker.recordViolation(rule, detail);
+    return checker;
+  }
+
+  /** Pipelines as the operator enabled them, with their caches known to the checker. */
+  private createPipelines(member: string, dependencies: PipelineManagerDependencies): PipelineManager {
+    const manager = createPipelineManager(dependencies);
+    const { jobCache } = dependencies;
+    this.cacheChecker.register(member, { jobCache, pipelineCache: manager.pipelineCache });
+    return manager;
+  }
+
   /** Faults that transactions set off reach beyond the store. */
   private connectStoreHooks(): void {
     this.store.transactionChecker.onViolation = (rule, detail) => this.checker.recordViolation(rule, detail);
@@ -204,7 +227,9 @@
     const controller = new Controller({
       settings: this.settings(member),
       operator: { ...defaultOperatorSettings(), ...this.options.operator },
-      pipelines: this.options.operator?.pipelines ? createPipelineManager : undefined,
+      pipelines: this.options.operator?.pipelines
+        ? (dependencies) => this.createPipelines(member, dependencies)
+        : undefined,
       createElasticJobManager: this.options.operator?.elastic ? createElasticJobManager : undefined,
       clock,
       random: seededRandom(this.options.seed * 31 + incarnation * 7 + Number(member.slice(1))),
@@ -271,6 +296,17 @@
 
   /** Plays up to the time, and checks the invariants after every step. */
   async run(untilS: number): Promise<void> {
-    await this.time.runUntil(untilS * 1000, () => this.checker.check());
+    await this.time.runUntil(untilS * 1000, () => {
+      this.checker.check();
+      this.checkCaches();
+    });
+  }
+
+  private cachesCheckedAt = 0;
+
+  private checkCaches(): void {
+    if (this.time.now - this.cachesCheckedAt < CACHE_CHECK_MS) return;
+    this.cachesCheckedAt = this.time.now;
+    this.cacheChecker.check();
   }
 }
