--- a/test/search/faults.ts
+++ b/test/search/faults.ts
@@ -15,6 +15,9 @@
   BackfillReservations,
   type ReservationSnapshot,
 } from '../../src/coordination/fair-share/backfill-reservations.js';
+import { PipelineWriter } from '../../src/coordination/pipelines/pipeline-writer.js';
+import { refuse } from '../../src/coordination/users/refusals.js';
+import { PipelineCache } from '../../src/storage/pipeline-cache.js';
 import { CompletionWriter } from '../../src/coordination/completion/completion-writer.js';
 
 /** Injects one fault by replacing members of the program's classes, and registers how to undo each replacement. */
@@ -221,10 +224,41 @@
   },
 };
 
+/** Faults of pipelines, which days of pipelines must find. */
+export const PIPELINE_FAULTS: Readonly<Record<string, Patch>> = {
+  'a comparison of ids that says nothing counts as ids that are taken': (undo) => {
+    const { finishedIdClashes } = prototypeOf(PipelineWriter) as {
+      finishedIdClashes: (...a: unknown[]) => Promise<unknown>;
+    };
+    replaceMember(
+      undo,
+      prototypeOf(PipelineWriter),
+      'finishedIdClashes',
+      async function (this: PipelineWriter, ...a: unknown[]) {
+        const clash = await finishedIdClashes.apply(this, a);
+        return clash === 'unknown' ? refuse('storeUnanswered') : clash;
+      },
+    );
+  },
+  'a late answer to an own write brings back a pipeline that has ended': (undo) => {
+    const { recordWrite } = prototypeOf(PipelineCache) as { recordWrite: PipelineCache['recordWrite'] };
+    replaceMember(
+      undo,
+      prototypeOf(PipelineCache),
+      'recordWrite',
+      function (this: PipelineCache, ...a: Parameters<PipelineCache['recordWrite']>) {
+        const isCached = this.headOf(a[0].id) !== undefined;
+        if (!isCached) Object.assign(this, { removed: new Map() });
+        recordWrite.apply(this, a);
+      },
+    );
+  },
+};
+
 /** Runs with the named fault injected, and undoes it afterwards. */
 export async function withFault<T>(name: string, run: () => Promise<T>): Promise<T> {
   const back: (() => void)[] = [];
-  FAULTS[name]!((b) => void back.push(b));
+  ({ ...FAULTS, ...PIPELINE_FAULTS })[name]!((b) => void back.push(b));
   try {
     return await run();
   } finally {
--- a/test/search/main.ts
+++ b/test/search/main.ts
@@ -1,5 +1,5 @@
 import { Command, InvalidArgumentError } from 'commander';
-import { search } from './schedule.js';
+import { search, type DayKind } from './schedule.js';
 
 const whole = (text: string): number => {
   const n = Number(text);
@@ -7,6 +7,9 @@
   return n;
 };
 
+/** The kinds of days, one after the other. */
+const KINDS: readonly DayKind[] = ['all', 'pipelines'];
+
 /** `npm run search`: runs drawn days in virtual time until the time is over, and prints the days that violate an invariant. */
 new Command('search')
   .description(
@@ -20,11 +23,14 @@
     let played = 0;
     let found = 0;
     for (let seed = o.seed; Date.now() < until; seed++) {
-      const r = await search(seed, o.batch, undefined, Math.max(1, until - Date.now()));
+      const kind = KINDS[(seed - o.seed) % KINDS.length]!;
+      const r = await search(seed, o.batch, undefined, Math.max(1, until - Date.now()), true, kind);
       played += r.played;
       if (!r.found) continue;
       found++;
-      process.stdout.write(`# seed ${seed}\n# ${r.found.failures.join('\n# ')}\n${r.found.text}\n\n`);
+      process.stdout.write(
+        `# seed ${seed}, ${kind}\n# ${r.found.failures.join('\n# ')}\n${r.found.text}\n\n`,
+      );
     }
     process.stdout.write(`${played} days from seed ${o.seed} on, ${found} with invariant violations\n`);
     process.exitCode = found > 0 ? 1 : 0;
--- a/test/simulator/simulated-pipeline-users.ts
+++ b/test/simulator/simulated-pipeline-users.ts
@@ -4,8 +4,9 @@
   pipelineAnswerSchema,
   type PipelineAnswer,
   type PipelineSpec,
+  type StepState,
 } from '../../src/protocol/pipelines.js';
-import { PipelinePaths } from '../../src/protocol/wire.js';
+import { PipelinePaths, type JobState } from '../../src/protocol/wire.js';
 import {
   finishedPipelineSchema,
   pipelineChecksum,
@@ -27,6 +28,10 @@
 /** The steps of larger pipelines aren't polled one by one. */
 const MAX_POLLED_STEPS = 40;
 
+/** What a pipeline's answer says of a step's job. */
+const jobStateOf = (state: StepState): JobState =>
+  state === 'done' || state === 'cancelled' || state === 'running' ? state : 'queued';
+
 const isFinished = ({ state }: PipelineAnswer): boolean => state !== 'held' && state !== 'running';
 
 /** Users of pipelines: what is said of a pipeline's steps goes to the invariant checker like any other answer about a job. */
@@ -87,8 +92,7 @@
     const listed = new Map(answer.ok ? answer.value.list.map((step) => [step.job, step.state]) : []);
     if (answer.ok && isFinished(answer.value) && listed.size === 0) return;
     for (const { job } of spec.steps) {
-      const state = listed.get(job.id);
-      const told = state === 'done' || state === 'cancelled' ? state : 'queued';
+      const told = jobStateOf(listed.get(job.id) ?? 'held');
       this.environment.checker.recordAnswer(job.id, status, told, 'submit', askedAt);
     }
   }
@@ -125,6 +129,9 @@
       if (answer.value.state === 'done') {
         for (const step of spec.steps)
           this.environment.checker.recordAnswer(step.job.id, 200, 'done', 'poll', askedAt);
+      } else if (spec.steps.length > MAX_POLLED_STEPS) {
+        // Some are done and others cancelled: only the answers about the single steps tell which.
+        for (const step of spec.steps) void this.users.poll(step.job.id);
       }
       return;
     }
@@ -133,10 +140,8 @@
   /** What the answer says of each step is held to the rules like any other answer about a job. */
   private recordAnswer(answer: PipelineAnswer, askedAt: number): void {
     this.states.set(answer.id, answer.state);
-    for (const step of answer.list) {
-      if (step.state === 'done' || step.state === 'cancelled')
-        this.environment.checker.recordAnswer(step.job, 200, step.state, 'poll', askedAt);
-    }
+    for (const { job, state } of answer.list)
+      this.environment.checker.recordAnswer(job, 200, jobStateOf(state), 'poll', askedAt);
   }
 
   async cancel(spec: PipelineSpec): Promise<void> {
