--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -135,6 +135,16 @@
   await large.tasks.endAll();
 });
 
+test('a start that is repeated has no effect on an attempt that ended and is remembered', async () => {
+  const f = createFixture(['/bin/sh', '-c', 'exit 3']);
+  f.run({ op: 'start' });
+  await until('it fails', () => f.state() === 'exited error');
+  f.run({ op: 'start' });
+  assert.equal(f.state(), 'exited error');
+  f.run({ op: 'forget' });
+  assert.equal(f.state(), 'none');
+});
+
 test('a stop ends the whole process group, including background processes', async () => {
   const fixture = createFixture(['/bin/sh', '-c', 'sleep 100 & sleep 100 & wait']);
   fixture.run({ op: 'start' });
--- a/test/breaches.test.ts
+++ b/test/breaches.test.ts
@@ -151,6 +151,16 @@
       onMachine(cluster, 'm-000000', { ...command, op: 'forget' });
     },
   },
+  {
+    rule: 'started_again',
+    at: 8,
+    inject: (cluster) => {
+      const command = { ...start('req-000001', 0), attempt: FIRST_ATTEMPT };
+      onMachine(cluster, 'm-000000', { ...command, op: 'stop', graceS: 0 });
+      onMachine(cluster, 'm-000000', { ...command, op: 'forget' });
+      onMachine(cluster, 'm-000000', command);
+    },
+  },
   {
     rule: 'removed_unanswered',
     at: 8,
--- a/test/simulator/simulated-agent.ts
+++ b/test/simulator/simulated-agent.ts
@@ -90,6 +90,8 @@
   private readonly tasks = new Map<string, LocalTask>();
   /** The highest token of a direct command that started the attempt: a repeat of it is carried out as long as the token stands. */
   private readonly directStartTokens = new Map<string, bigint>();
+  /** All attempts that were ever begun on this machine, in any agent epoch. */
+  private readonly begunAttempts = new Set<string>();
   private readonly images = new Map<string, number>();
   private leaseRenewedAt: number;
   private lastSentAt = -1e9;
@@ -312,6 +314,10 @@
   private start(job: string, index: number, attempt: bigint, key: string): void {
     const run = this.context.jobs.get(job);
     this.context.checker.startCommandSent(job, index, attempt);
+    // A task with a result exits with it without running.
+    if (this.begunAttempts.has(key) && !this.context.checker.isDone(job, index))
+      this.context.checker.recordViolation('started_again', `${key} on ${this.host}`);
+    this.begunAttempts.add(key);
     const task: LocalTask = {
       job,
       index,
