An unreadable job record that is gone is forgotten when all are read again

Seen by operators: completion records that are never collected, after a damaged job record was removed while the node could not follow the watch.

Cause: JobCache.reload removed the cached jobs that it did not find, and not the jobs known as unreadable, which are in no other index.

Change: they are compared with what was read, too.

Result: the test fails before and passes now.

--- a/src/storage/job-cache.ts
+++ b/src/storage/job-cache.ts
@@ -163,6 +163,9 @@
     for (const [id, known] of this.jobs) {
       if (!present.has(Prefix.job + id) && known.modRevision <= readAt) this.remove(id, readAt);
     }
+    for (const id of this.unreadableJobs) {
+      if (!present.has(Prefix.job + id)) this.unreadableJobs.delete(id);
+    }
     this.auxiliaryCache?.reloaded(present, readAt);
     this.advance(revision, sentAt);
     this.log.info('job-cache-loaded', { rows: this.jobs.size });
--- a/test/storage.test.ts
+++ b/test/storage.test.ts
@@ -18,7 +18,7 @@
 import { StoreClient } from '../src/storage/store-client.js';
 import { silentLog } from '../src/transport/log.js';
 import type { RateLimiter } from '../src/transport/rate-limiter.js';
-import { ok } from '../src/transport/result.js';
+import { err, ok } from '../src/transport/result.js';
 import { ProcessClock, VirtualTime } from './simulator/virtual-time.js';
 
 describe('JobCache', () => {
@@ -65,6 +65,27 @@
   });
 });
 
+describe('a JobCache that reads all records again', () => {
+  // A job whose unreadable record was removed kept every later leader from collecting completion records.
+  it('forgets an unreadable record that is gone', async () => {
+    const time = new VirtualTime();
+    const clock = new ProcessClock(time, 1, 0);
+    const unreadable = { key: Keys.job('req-000001' as JobId), value: {}, modRevision: 1n as ModRevision };
+    const pages = [[unreadable], []];
+    const store = {
+      range: () => Promise.resolve(ok({ entries: pages.shift() ?? [], revision: 3n })),
+      changes: () => Promise.resolve(err({ kind: 'gone', why: 'too old' })),
+    };
+    const cache = new JobCache(store as unknown as StoreClient, clock, { next: () => 0.5 }, silentLog, 1e9);
+    await cache.sync();
+    assert.equal(cache.unreadableJobs.size, 1);
+    const synced = cache.sync();
+    await time.runUntil(10, () => undefined);
+    assert.ok(await synced);
+    assert.equal(cache.unreadableJobs.size, 0);
+  });
+});
+
 describe('StoreClient', () => {
   // Any status but those named by the protocol counted as a renewal, and a leader may decide only under a lease that certainly stands.
   it('takes no other status than 200 for a renewed lease', async () => {
