--- a/src/coordination/pipelines/pipeline-manager.ts
+++ b/src/coordination/pipelines/pipeline-manager.ts
@@ -4,11 +4,11 @@
  * Owns the pipeline cache and, on the leader, the retry state of steps. It starts no task: a released step becomes a job
  * record, which the scheduling loop handles like any other.
  */
-import type { Clock, SteadyMs } from '../../transport/clock.js';
+import { plus, type Clock, type SteadyMs } from '../../transport/clock.js';
 import type { Route } from '../../transport/http.js';
 import type { Log } from '../../transport/log.js';
 import type { Metrics } from '../../transport/metrics.js';
-import type { JobId, PipelineId, Term } from '../../protocol/ids.js';
+import { NO_REVISION, type JobId, type PipelineId, type Term } from '../../protocol/ids.js';
 import type { Change, Condition } from '../../protocol/state.js';
 import { PipelineCache, type CachedPart } from '../../storage/pipeline-cache.js';
 import { PipelineKeys } from '../../storage/pipeline-records.js';
@@ -20,6 +20,13 @@
 
 /** Records of an interrupted acceptance are garbage-collected after this time. */
 export const ABANDONED_ACCEPTANCE_MS = 120_000;
+/** The longest back-off of a step, and after how many doublings it grows no more. */
+const MAX_BACKOFF_S = 3600;
+const MAX_BACKOFF_DOUBLINGS = 20;
+/** Steps whose last delay is remembered. */
+const MAX_REMEMBERED_DELAYS = 10_000;
+/** Unmet dependencies that an explanation names. */
+const MAX_EXPLAINED_DEPENDENCIES = 10;
 /** Share of the store's write rate for releases of steps outside the transactions that record completions of their pipeline. */
 const RELEASE_WRITE_SHARE = 0.3;
 
@@ -117,11 +124,12 @@
     const job = this.cluster?.jobs.get(id);
     if (!job || this.delayedAfterFailures.get(id) === failures) return;
     this.delayedAfterFailures.set(id, failures);
-    if (this.delayedAfterFailures.size > 10_000)
+    if (this.delayedAfterFailures.size > MAX_REMEMBERED_DELAYS)
       this.delayedAfterFailures.delete(this.delayedAfterFailures.keys().next().value!);
-    const until =
-      this.dependencies.clock.now() + Math.min(3600, backoffS * 2 ** Math.min(20, failures - 1)) * 1000;
-    if (until > job.retryAt) job.retryAt = until as SteadyMs;
+    const doublings = Math.min(MAX_BACKOFF_DOUBLINGS, failures - 1);
+    const delayS = Math.min(MAX_BACKOFF_S, backoffS * 2 ** doublings);
+    const until = plus(this.dependencies.clock.now(), delayS * 1000);
+    if (until > job.retryAt) job.retryAt = until;
   }
   beginCompletion(cluster: PipelinesClusterState, term: Term): StepCompletion | undefined {
     const { dependencies } = this;
@@ -163,7 +171,7 @@
       if (batch.length === 0) continue;
       return {
         conditions: [
-          { key: PipelineKeys.head(id), modRevision: 0n as never },
+          { key: PipelineKeys.head(id), modRevision: NO_REVISION },
           ...batch.map((p) => ({ key: PipelineKeys.part(id, p.n), modRevision: p.modRevision })),
         ],
         changes: batch.map((p) => ({ op: 'delete', key: PipelineKeys.part(id, p.n) })),
@@ -203,7 +211,7 @@
     if (progress.released.has(index) || isStepFinished(progress, index)) return lines;
     if (isBeforeStartTime(pipeline, this.dependencies.clock.wall()))
       lines.push(`The pipeline starts at ${new Date(startMs!).toISOString()}.`);
-    for (const needed of unmetDependencies(pipeline, index).slice(0, 10)) {
+    for (const needed of unmetDependencies(pipeline, index).slice(0, MAX_EXPLAINED_DEPENDENCIES)) {
       const why = progress.cancelled.has(needed)
         ? ', which was cancelled: it waits until it is cancelled too'
         : progress.failed.has(needed)
