--- a/test/search/drawn-faults.ts
+++ b/test/search/drawn-faults.ts
@@ -399,3 +399,9 @@
       .map(([lengthS, machineId]) => [`stall holder ${lengthS}`, `isolate ${machineId} hold ${lengthS}`]),
   },
 );
+
+/** A line of a fault at its time; `+s` before it delays it by so many seconds. */
+export const timedLine = (at: number, what: string): string => {
+  const [, plus, rest] = /^(?:\+([\d.]+) )?(.*)$/.exec(what)!;
+  return `at ${Math.round((at + Number(plus ?? 0)) * 10) / 10} ${rest!}`;
+};
--- a/test/search/pipeline-days.ts
+++ b/test/search/pipeline-days.ts
@@ -9,6 +9,7 @@
   overlapDelayS,
   singleFault,
   tenthsBetween,
+  timedLine,
 } from './drawn-faults.js';
 
 /**
@@ -148,11 +149,6 @@
   { weight: 3, arbitrary: singleFault.map((fault) => [fault]) },
 );
 
-const timedLine = (at: number, what: string): string => {
-  const [, plus, rest] = /^(?:\+([\d.]+) )?(.*)$/.exec(what)!;
-  return `at ${Math.round((at + Number(plus ?? 0)) * 10) / 10} ${rest!}`;
-};
-
 /** A day as the text of a scenario. */
 export const pipelineDay: fc.Arbitrary<string> = fc
   .record({
--- a/test/search/schedule.ts
+++ b/test/search/schedule.ts
@@ -8,6 +8,7 @@
   LEASE_S,
   scene,
   tenthsBetween,
+  timedLine,
   waitingScene,
 } from './drawn-faults.js';
 import { pipelineDay } from './pipeline-days.js';
@@ -96,11 +97,6 @@
 /** Days on which jobs are likely to be left waiting: no machine can be provisioned, and there is more work than capacity. */
 const waitingDay = daysOf(waitingScene, fc.constant<Site>('scarce'));
 
-const timedLine = (at: number, what: string): string => {
-  const [, plus, rest] = /^(?:\+([\d.]+) )?(.*)$/.exec(what)!;
-  return `at ${Math.round((at + Number(plus ?? 0)) * 10) / 10} ${rest!}`;
-};
-
 /** The numbers in the ids of the jobs that a line submits. */
 function submittedNumbers(line: string): number[] {
   const [, many, first] = / submits? (?:(\d+) )?req-(\d+)/.exec(line) ?? [];
